--- /dev/null
+++ b/src/dispatch/controller.cpp
@@ -0,0 +1,765 @@
+// The decisions of plumkeel: where a job goes, how long it waits, when it is given up.
+//
+// How it is invoked: the host makes one Controller (controller.hpp, the interface) for each controller, tells
+// it what happens, a call for each happening, and carries out the Results that every call returns. The host
+// calls wake() at or after Results::next_wake. The module does no input or output and reads no clock.
+//
+// Where to start: place() is the ordinary path of a job, from top to bottom. The design it follows, and every
+// exception to it, is in docs/design.md.
+#include "dispatch/controller.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace plumkeel {
+namespace {
+
+using namespace std::chrono_literals;
+
+// The design's parking (steps 3 to 5).
+constexpr Time park_budget = 5s;
+constexpr Time first_delay = 100ms;
+constexpr double delay_growth = 1.1;
+constexpr double delay_jitter = 0.1;
+constexpr std::size_t park_limit = 1024;
+
+// The pick.
+constexpr std::size_t homes = 2;
+constexpr double second_home_bias = 1.15;  // a cold second home must be this much better than the first
+constexpr double tie = 0.002;              // seconds
+constexpr double assumed_run = 0.15, assumed_load = 1.0;  // seconds, until something is learned
+constexpr double assumed_press = 0.2;
+constexpr double copy_share = 0.45;  // of a load: a further copy beside a standing one needs no fetch
+constexpr Time report_fresh = 1500ms;
+constexpr double odd_run = 4.0;  // a run this many times the expected teaches no more than that
+
+// Shedding: part of the promised time that waiting behind other jobs may take.
+constexpr double shed_wait = 0.8, shed_wait_over_share = 0.4;
+constexpr double over_share = 1.2;
+constexpr double tenant_span = 3.0;  // seconds
+
+// Health.
+constexpr Time sweep_period = 250ms;
+constexpr Time probe_gap = 600ms;
+constexpr Time quiet_gap = 400ms;
+constexpr int misses_aside = 2, answers_back = 2, eased = 8, first_ease = 2;
+constexpr Time copies_gone = 3s;   // silent for longer than any stall: its copies are not counted on
+constexpr Time shun = 300ms;       // after it turned a job away
+constexpr Time blind_aside = 2s;   // where no probe may be sent
+constexpr double doubt_share = 0.34;
+
+constexpr double cold_margin = 0.7;  // of the budget for a cold invoker, for what can't be seen
+constexpr Time forget_function = 60s;
+
+constexpr double in_seconds(Time t) { return static_cast<double>(t.count()) / 1e6; }
+constexpr Time span_of(double seconds) { return Time(static_cast<Time::rep>(std::max(0.0, seconds) * 1e6)); }
+
+std::uint64_t mix(std::uint64_t x) {
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+}
+
+std::uint64_t print_of(const std::string& name) {
+    std::uint64_t h = 0xcbf29ce484222325ULL;
+    for (unsigned char c : name) h = (h ^ c) * 0x100000001b3ULL;
+    return mix(h);
+}
+
+bool never_ran(Ending e) {
+    return e == Ending::turned_away || e == Ending::unreachable || e == Ending::never_sent ||
+           e == Ending::not_loaded;
+}
+
+}  // namespace
+
+Controller::Controller(std::uint64_t seed, Rulebook rules, Allowances may)
+    : rules_(rules), may_(std::move(may)), dice_(mix(seed + 0x9e3779b97f4a7c15ULL)) {
+    run_ = assumed_run;
+    load_ = assumed_load;
+}
+
+// ---------------------------------------------------------------- the ordinary path of a job
+
+// Steps 1 to 5 of the design. Called when the job arrives, when a wait of its function ends, and when its hop
+// ended without an answer and it may go on.
+void Controller::place(Job& job) {
+    Function& function = *job.function;
+    if (static_cast<int>(job.hops.size()) >= may_.hops) return give_up(job);
+    const double left = in_seconds(job.promised - now_);
+    const Choice best = choose(job);
+
+    // No invoker may be sent anything now: wait on the function's clock.
+    if (!best.invoker) return park(job);
+
+    // Exception "shed": where it would answer too late only for the jobs ahead of it, it would make those
+    // behind it late as well. Guards against overload, a tenant over its share and retry storms; it could harm
+    // where run times are overestimated.
+    const double patience = (job.over_share ? shed_wait_over_share : shed_wait) * in_seconds(job.use_case->promised);
+    if (best.wait > patience && best.finish > left && may_bounce(job)) return give_up(job);
+
+    // Step 2: one load attempt a function. While it is out and no warm copy answers in time, jobs wait for it.
+    const bool wait_for_load = function.loading && (!best.warm || best.finish > left);
+    if (wait_for_load && parked_ < park_limit) return park(job);
+
+    if (!best.warm && may_.order_copies && !function.loading && may_order()) {
+        function.loading = best.invoker;
+        function.loading_since = now_;
+        results_.ordered.push_back({&function, best.invoker, 1});
+        return park(job);
+    }
+    if (!best.warm && !may_.loads_on_demand) return park(job);
+    start_hop(job, best);
+}
+
+// Holds the job at the controller. All parked jobs of a function share the clock that the first one started.
+void Controller::park(Job& job) {
+    Function& function = *job.function;
+    if (parked_ >= park_limit && job.state != JobState::parked) return give_up(job);
+    turn(job, JobState::parked);
+    if (!function.ticking) {
+        function.ticking = true;
+        function.clock = now_;
+        function.delay = first_delay;
+        function.resend = now_ + function.delay;
+        clock_due(function);
+    }
+}
+
+void Controller::clock_due(Function& function) {
+    set_due(function.due, std::min(function.resend, function.clock + park_budget), {nullptr, &function});
+}
+
+// Sends on what is parked, oldest first; place() parks again what still has to wait.
+void Controller::release(Function& function) {
+    const std::vector<Job*> waiting = function.parked;
+    for (Job* job : waiting)
+        if (job->state == JobState::parked) place(*job);
+    if (function.parked.empty()) {
+        function.ticking = false;
+        drop_due(function.due);
+    }
+}
+
+void Controller::load_over(Function& function) {
+    function.loading = nullptr;
+    release(function);
+}
+
+// The job's final answer, at once, since nothing more is done for it.
+void Controller::give_up(Job& job) {
+    if (!may_bounce(job)) return turn(job, JobState::written_off);
+    if (may_.retry_after) {
+        // Late already: a further try could earn little, so it is asked to stay away for long.
+        const Time pause = now_ >= job.promised ? may_.longest_retry_after : span_of(0.3 + 0.4 * chance());
+        job.retry_after = std::min(pause, may_.longest_retry_after);
+    }
+    turn(job, JobState::bounced);
+}
+
+void Controller::start_hop(Job& job, const Choice& choice) {
+    Function& function = *job.function;
+    Invoker& invoker = *choice.invoker;
+    Belief& belief = believe(function, invoker);
+    Hop& hop = job.hops.emplace_back();
+    hop.job = &job;
+    hop.invoker = &invoker;
+    hop.number = static_cast<int>(job.hops.size()) - 1;
+    hop.sent = now_;
+    hop.limit = job.expires - now_;
+    hop.out = true;
+    hop.expected_warm = choice.warm;
+    hop.beside = belief.out;
+    hop.crowd = crowd_at(invoker) + 1;
+    if (!choice.warm && !function.loading) {
+        hop.loads = true;
+        function.loading = &invoker;
+        function.loading_since = now_;
+    }
+    ++belief.out;
+    invoker.out.push_back(&hop);
+    if (invoker.cold_since) invoker.cold_hops.push_back(now_);
+    results_.started.push_back(&hop);
+    turn(job, JobState::hopping);
+}
+
+// The only place where a job changes state.
+void Controller::turn(Job& job, JobState to) {
+    assert(!job.answered());
+    Function& function = *job.function;
+    const JobState from = job.state;
+    job.state = to;
+    if (from == JobState::parked && to != JobState::parked) {
+        std::erase(function.parked, &job);
+        --parked_;
+    }
+    switch (to) {
+        case JobState::fresh: break;
+        case JobState::parked:
+            if (from != JobState::parked) {
+                function.parked.push_back(&job);
+                ++parked_;
+            }
+            // Parked for as long as a run still fits before its expiry.
+            set_due(job.due, job.expires - 2 * may_.tick - span_of(function.run * 0.7), {&job, nullptr});
+            break;
+        case JobState::hopping: set_due(job.due, job.expires - 2 * may_.tick, {&job, nullptr}); break;
+        case JobState::streaming: drop_due(job.due); break;
+        case JobState::bounced:
+        case JobState::written_off: results_.answered.push_back(&job); [[fallthrough]];
+        case JobState::honoured:
+        case JobState::abandoned:
+            drop_due(job.due);
+            --function.jobs;
+            for (Hop& hop : job.hops)
+                if (hop.out && may_.call_off) results_.called_off.push_back(&hop);
+            break;
+    }
+}
+
+// ---------------------------------------------------------------- the guards of the rules
+
+// Rule 2, and the hop limit: may the job be sent (again) to this invoker?
+bool Controller::may_hop(const Job& job, const Invoker& invoker) const {
+    if (job.answered() || static_cast<int>(job.hops.size()) >= may_.hops || now_ >= job.expires) return false;
+    for (const Hop& hop : job.hops) {
+        if (!hop.out && never_ran(*hop.ending)) continue;
+        if (hop.out && !may_.second_copies) return false;
+        const UseCase& use = *job.use_case;
+        if (use.repeat == Repeat::replayable) continue;
+        if (use.repeat == Repeat::single_use) return false;
+        if (now_ + 2 * may_.tick >= hop.sent + use.remembered) return false;
+        if (use.reach == Reach::zone && hop.invoker->zone != invoker.zone) return false;
+        if (use.reach == Reach::cell && hop.invoker->cell != invoker.cell) return false;
+    }
+    return true;
+}
+
+// Rule 2: may the client be told that a further try is harmless?
+bool Controller::may_bounce(const Job& job) const {
+    const UseCase& use = *job.use_case;
+    if (use.repeat == Repeat::replayable) return true;
+    for (const Hop& hop : job.hops) {
+        if (!hop.out && never_ran(*hop.ending)) continue;
+        if (use.repeat == Repeat::single_use || use.reach != Reach::everywhere) return false;
+        if (now_ + 2 * may_.tick >= hop.sent + use.remembered) return false;
+    }
+    return true;
+}
+
+// Rules 3 and 4: may this invoker be sent anything new? A cold one has a budget in any window of the stated
+// length: the stated multiple of what it can do, which is taken to rise evenly from the cold share over the
+// whole stated time, of what warm invokers of its size are seen to do for this controller. What each controller
+// sees is its own part of the traffic, so all budgets together stay under the whole one.
+bool Controller::may_send_to(Invoker& invoker) {
+    if (!invoker.listed || !invoker.ready) return false;
+    if (!invoker.cold_since) return true;
+    const Time age = now_ - *invoker.cold_since;
+    if (age >= rules_.cold_for + rules_.push_span) {
+        invoker.cold_since.reset();
+        invoker.cold_hops.clear();
+        return true;
+    }
+    while (!invoker.cold_hops.empty() && invoker.cold_hops.front() + rules_.push_span < now_)
+        invoker.cold_hops.pop_front();
+    const double risen = in_seconds(std::max(Time{}, age - rules_.push_span)) / in_seconds(rules_.cold_for);
+    const double share = std::min(1.0, rules_.cold_share + (1 - rules_.cold_share) * risen);
+    const double budget = cold_margin * rules_.push_multiple * share * rate_ * invoker.units *
+                          in_seconds(rules_.push_span);
+    return static_cast<double>(invoker.cold_hops.size()) + 1 <= std::max(1.0, budget);
+}
+
+// Rule 5: may copies be ordered now? Counts the order when it says yes.
+bool Controller::may_order() {
+    if (rules_.load_span > Time{}) {
+        while (!orders_.empty() && orders_.front() + rules_.load_span < now_) orders_.pop_front();
+        while (!taken_.empty() && taken_.front() + rules_.load_span <= now_) taken_.pop_front();
+        const double limit = rules_.free_loads + rules_.loads_per_job * static_cast<double>(taken_.size());
+        if (static_cast<double>(orders_.size()) + 1 > limit) return false;
+        orders_.push_back(now_);
+    }
+    return true;
+}
+
+// ---------------------------------------------------------------- the pick
+
+Controller::Choice Controller::choose(Job& job) {
+    Function& function = *job.function;
+    Choice best;
+    int ties = 0;
+    auto consider = [&](Invoker& invoker, double bias) {
+        if (!may_hop(job, invoker) || !may_send_to(invoker)) return;
+        Choice choice{&invoker};
+        choice.finish = estimate(function, invoker, belief_of(function, invoker), choice);
+        const double worth = choice.finish + (choice.warm ? 0 : (bias - 1) * load_time(function));
+        const double best_worth = best.invoker ? best.finish : 0;
+        if (!best.invoker || worth < best_worth - tie) {
+            best = choice;
+            best.finish = worth;
+            ties = 1;
+        } else if (worth < best_worth + tie && chance() * ++ties < 1) {
+            best = choice;
+            best.finish = worth;
+        }
+    };
+    auto usable = [&](const Invoker& invoker) {
+        if (!invoker.listed || !invoker.ready) return false;
+        if (doubting_) return true;
+        if (invoker.shun_until > now_) return false;
+        if (invoker.standing == Standing::easing) return static_cast<int>(invoker.out.size()) < invoker.easy;
+        return invoker.standing == Standing::trusted;
+    };
+
+    struct Home {
+        Invoker* invoker{};
+        double rank{};
+    };
+    std::vector<Home> order;
+    for (Invoker* invoker : fleet_) {
+        if (!usable(*invoker)) continue;
+        const double u = (static_cast<double>(mix(function.print ^ invoker->print) >> 11) + 0.5) * 0x1p-53;
+        const double units = may_.steady_units && invoker->units > 0 ? invoker->units : 1;
+        const Home home{invoker, -std::log(u) / units};
+        auto at = std::find_if(order.begin(), order.end(), [&](const Home& h) { return home.rank < h.rank; });
+        order.insert(at, home);
+        if (order.size() > homes) order.pop_back();
+    }
+    for (std::size_t i = 0; i < order.size(); ++i) consider(*order[i].invoker, i ? second_home_bias : 1);
+    for (const Belief& belief : function.beliefs) {
+        if (belief.until <= now_ || !usable(*belief.invoker)) continue;
+        if (std::any_of(order.begin(), order.end(), [&](const Home& h) { return h.invoker == belief.invoker; }))
+            continue;
+        consider(*belief.invoker, 1);
+    }
+    if (best.invoker || doubting_) return best;
+    // Nobody of the shared order may be sent to: any usable one is better than none.
+    for (Invoker* invoker : fleet_)
+        if (usable(*invoker)) consider(*invoker, 1);
+    return best;
+}
+
+// Seconds until this invoker would answer a job of the function that is sent now.
+double Controller::estimate(const Function& function, const Invoker& invoker, const Belief* belief,
+                            Choice& choice) const {
+    double press = std::max(invoker.pace, invoker.press * (crowd_at(invoker) + 1));
+    if (invoker.cold_since) {
+        const double risen = std::min(1.0, in_seconds(now_ - *invoker.cold_since) / in_seconds(rules_.cold_for));
+        press /= rules_.cold_share + (1 - rules_.cold_share) * risen;
+    }
+    const double run = function.run * press;
+    const double load = load_time(function);
+    choice.wait = run - function.run * invoker.pace;
+    choice.warm = belief && belief->until > now_;
+    const int lanes = std::max(1, function.lanes);
+    const int held = belief ? belief->out : 0;
+    if (choice.warm) {
+        const int room = std::max(1, (belief->peak + lanes - 1) / lanes) * lanes;
+        if (held < room) return run;
+        // All lanes taken: behind the others, or on the further copy that the invoker starts by itself.
+        return run + std::min(copy_share * load, run * (held - room + 1) / room);
+    }
+    if (function.loading != &invoker) return run + load;
+    return run + std::max(0.1 * load, load - in_seconds(now_ - function.loading_since));
+}
+
+double Controller::load_time(const Function& function) const {
+    if (function.load > 0) return function.load;
+    return function.told_load ? std::max(in_seconds(*function.told_load), 0.05) : load_;
+}
+
+// How many jobs the invoker is thought to hold, those of other controllers included.
+double Controller::crowd_at(const Invoker& invoker) const {
+    const double own = static_cast<double>(invoker.out.size());
+    if (invoker.held && now_ - invoker.held_at < report_fresh)
+        return std::max(own, *invoker.held + own - invoker.out_then);
+    return own * std::max(1, may_.controllers);
+}
+
+Belief* Controller::belief_of(Function& function, const Invoker& invoker) const {
+    for (Belief& belief : function.beliefs)
+        if (belief.invoker == &invoker) return &belief;
+    return nullptr;
+}
+
+Belief& Controller::believe(Function& function, Invoker& invoker) {
+    if (Belief* known = belief_of(function, invoker)) return *known;
+    Belief& belief = function.beliefs.emplace_back();
+    belief.invoker = &invoker;
+    return belief;
+}
+
+// ---------------------------------------------------------------- what happens to a job
+
+Results Controller::take(Time now, Job& job) {
+    now_ = now;
+    Function& function = *job.function;
+    meet(function);
+    job.taken = now;
+    job.expires = now + job.time_left;
+    job.promised = std::min(now + job.use_case->promised, job.expires);
+    function.last_wanted = now;
+    ++function.jobs;
+    if (rules_.load_span > Time{}) taken_.push_back(now);
+    if (job.tenant && job.tenant->share_per_s > 0) {
+        Tenant& tenant = *job.tenant;
+        tenant.level = tenant.level * std::exp(-in_seconds(now - tenant.seen) / tenant_span) + 1;
+        tenant.seen = now;
+        job.over_share = tenant.level / tenant_span * may_.controllers > over_share * tenant.share_per_s;
+    }
+    place(job);
+    return done();
+}
+
+Results Controller::hop_accepted(Time now, Hop& hop) {
+    now_ = now;
+    if (!hop.job->answered() && hop.job->state != JobState::streaming) turn(*hop.job, JobState::streaming);
+    return done();
+}
+
+Results Controller::hop_ended(Time now, Hop& hop, Ending ending, Note note, int company, const Report& report) {
+    now_ = now;
+    Job& job = *hop.job;
+    Function& function = *job.function;
+    Invoker& invoker = *hop.invoker;
+    hop.out = false;
+    hop.ending = ending;
+    std::erase(invoker.out, &hop);
+    if (Belief* belief = belief_of(function, invoker); belief && belief->out > 0) --belief->out;
+    hear(invoker, report);
+
+    switch (ending) {
+        case Ending::honoured: learn(hop, note, company); break;
+        case Ending::turned_away:
+            invoker.shun_until = now + shun;
+            answered_well(invoker);
+            break;
+        case Ending::unreachable: mistrust(invoker, true); break;
+        case Ending::cut_off: mistrust(invoker, false); break;
+        case Ending::errored:
+        case Ending::not_loaded:
+            if (Belief* belief = belief_of(function, invoker)) belief->until = Time{};
+            break;
+        case Ending::overdue:
+        case Ending::called_off:
+            // A load that has begun goes on without the job that wanted it.
+            if (hop.loads && invoker.standing == Standing::trusted &&
+                in_seconds(now - hop.sent) > load_time(function))
+                believe(function, invoker).until = now + may_.keep_alive / 2;
+            break;
+        case Ending::never_sent: break;
+    }
+
+    if (!job.answered()) {
+        const bool others = std::any_of(job.hops.begin(), job.hops.end(), [](const Hop& h) { return h.out; });
+        if (ending == Ending::honoured || job.state == JobState::streaming)
+            turn(job, ending == Ending::honoured ? JobState::honoured : JobState::abandoned);
+        else if (others || job.state == JobState::parked)
+            ;  // the other hop, or the function's clock, decides
+        else if (now + 2 * may_.tick >= job.expires)
+            give_up(job);
+        else if (never_ran(ending))
+            park(job);  // step 1: it never ran, so it waits for the next resend
+        else if (std::any_of(fleet_.begin(), fleet_.end(), [&](Invoker* i) { return may_hop(job, *i); }))
+            place(job);  // it may have run, and may run again
+        else
+            give_up(job);
+    }
+    if (hop.loads && function.loading == &invoker) load_over(function);
+    return done();
+}
+
+Results Controller::client_left(Time now, Job& job) {
+    now_ = now;
+    if (!job.answered()) turn(job, JobState::abandoned);
+    return done();
+}
+
+Results Controller::load_answered(Time now, Function& function, Invoker& invoker, Ending ending, int copies) {
+    now_ = now;
+    if (ending == Ending::honoured || copies > 0) {
+        Belief& belief = believe(function, invoker);
+        belief.until = now + may_.keep_alive;
+        belief.peak = std::max(belief.peak, std::max(1, copies) * std::max(1, function.lanes));
+        belief.peaked = now;
+        if (function.loading == &invoker && ending == Ending::honoured) {
+            const double took = in_seconds(now - function.loading_since);
+            function.load = function.load > 0 ? 0.6 * function.load + 0.4 * took : took;
+            load_ += 0.1 * (took - load_);
+        }
+    }
+    if (ending == Ending::unreachable) mistrust(invoker, true);
+    if (ending == Ending::cut_off) mistrust(invoker, false);
+    if (ending == Ending::turned_away) invoker.shun_until = now + shun;
+    if (function.loading == &invoker) {
+        // Step 3: what could not be loaded is tried again with the next resend, not at once.
+        if (ending == Ending::honoured || copies > 0) load_over(function);
+        else function.loading = nullptr;
+    }
+    return done();
+}
+
+// ---------------------------------------------------------------- learning
+
+// A run's time is taken as the function's time on an idle invoker, times the invoker's pace when idle or its
+// press for each job held, whichever is more. Odd runs count as odd_run times the expected at most.
+void Controller::learn(const Hop& hop, Note note, int company) {
+    Function& function = *hop.job->function;
+    Invoker& invoker = *hop.invoker;
+    const double took = in_seconds(now_ - hop.sent);
+    ++honoured_lately_;
+    answered_well(invoker);
+
+    Belief& belief = believe(function, invoker);
+    belief.until = now_ + may_.keep_alive;
+    const int seen = std::max(hop.beside, company) + 1;
+    if (seen >= belief.peak || now_ - belief.peaked > may_.keep_alive) {
+        belief.peak = seen;
+        belief.peaked = now_;
+    }
+
+    double ratio = std::max(invoker.pace, invoker.press * hop.crowd);
+    const double expected = function.run * ratio;
+    if (note == Note::began_load && !hop.expected_warm) {
+        const double load = std::max(0.02, took - expected);
+        function.load = function.load > 0 ? 0.6 * function.load + 0.4 * load : load;
+        load_ += 0.1 * (load - load_);
+        return;
+    }
+    if (note != Note::stood_loaded && note != Note::none) return;
+    if (invoker.cold_since) return;
+    const double counted = std::min(took, odd_run * expected);
+    function.run += 0.1 * (counted / ratio - function.run);
+    run_ += 0.02 * (counted / ratio - run_);
+    const double relative = counted / function.run;
+    if (invoker.press * hop.crowd <= invoker.pace)
+        invoker.pace = std::clamp(invoker.pace + 0.03 * (relative - invoker.pace), 0.3, 5.0);
+    else
+        invoker.press = std::clamp(invoker.press + 0.03 * (relative / hop.crowd - invoker.press), 0.02, 2.0);
+}
+
+void Controller::hear(Invoker& invoker, const Report& report) {
+    if (!report.held) return;
+    invoker.held = report.held;
+    invoker.held_at = now_;
+    invoker.out_then = static_cast<int>(invoker.out.size());
+}
+
+void Controller::meet(Function& function) {
+    if (function.known) return;
+    function.known = true;
+    function.print = print_of(function.name);
+    function.run = run_;
+    functions_.push_back(&function);
+}
+
+// PCG (XSH-RR 64/32), as a number from 0 up to 1.
+double Controller::chance() {
+    const std::uint64_t old = dice_;
+    dice_ = old * 6364136223846793005ULL + 1442695040888963407ULL;
+    const auto shifted = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
+    const auto turn = static_cast<std::uint32_t>(old >> 59);
+    return ((shifted >> turn) | (shifted << ((32 - turn) & 31))) * 0x1p-32;
+}
+
+// ---------------------------------------------------------------- the fleet and its health
+
+Results Controller::fleet_changed(Time now, const std::vector<Invoker*>& changed, bool complete) {
+    now_ = now;
+    if (complete)
+        for (Invoker* invoker : fleet_)
+            if (std::find(changed.begin(), changed.end(), invoker) == changed.end()) {
+                invoker->ready = invoker->listed = false;
+                forget(*invoker);
+            }
+    for (Invoker* invoker : changed) {
+        const bool back = invoker->known && invoker->started && invoker->started != invoker->cold_from;
+        if (!invoker->known) {
+            invoker->known = true;
+            invoker->print = print_of(invoker->name);
+            invoker->pace = 1;
+            invoker->press = assumed_press;
+            fleet_.push_back(invoker);
+        }
+        if (back) forget(*invoker);
+        invoker->cold_from = invoker->started;
+        invoker->listed = true;
+        if (invoker->started && now - *invoker->started < rules_.cold_for) {
+            if (!invoker->cold_since || *invoker->cold_since != *invoker->started) invoker->cold_hops.clear();
+            invoker->cold_since = invoker->started;
+        }
+    }
+    for (Function* function : std::vector<Function*>(functions_)) release(*function);
+    return done();
+}
+
+Results Controller::list_broke(Time now) {
+    now_ = now;
+    results_.follow_list = may_.ask_for_list;
+    return done();
+}
+
+Results Controller::probe_answered(Time now, Invoker& invoker, bool answered, const Report& report) {
+    now_ = now;
+    invoker.probing = false;
+    hear(invoker, report);
+    if (answered) answered_well(invoker);
+    else mistrust(invoker, false);
+    return done();
+}
+
+void Controller::answered_well(Invoker& invoker) {
+    invoker.heard = now_;
+    invoker.missed = 0;
+    ++invoker.answered;
+    switch (invoker.standing) {
+        case Standing::trusted: break;
+        case Standing::suspect: invoker.standing = Standing::trusted; break;
+        case Standing::aside:
+            if (invoker.answered < answers_back) break;
+            invoker.standing = Standing::easing;
+            invoker.easy = first_ease;
+            break;
+        case Standing::easing:
+            if (++invoker.easy >= eased) invoker.standing = Standing::trusted;
+            break;
+    }
+}
+
+// Silence, resets and refused connections, whatever is behind them: first doubted, then set aside.
+void Controller::mistrust(Invoker& invoker, bool certain) {
+    invoker.answered = 0;
+    ++invoker.missed;
+    const bool aside = certain || invoker.missed >= misses_aside;
+    if (!aside && invoker.standing != Standing::aside) {
+        invoker.standing = Standing::suspect;
+        if (may_.probe && !invoker.probing) {
+            invoker.probing = true;
+            invoker.probed = now_;
+            results_.probed.push_back(&invoker);
+        }
+    } else if (invoker.standing != Standing::aside) {
+        invoker.standing = Standing::aside;
+        invoker.aside_since = now_;
+        if (certain) forget(invoker);
+    }
+    rescue(invoker);
+}
+
+// What is out at an invoker that does not answer goes elsewhere where the rules allow a second hop; where two
+// at once are not allowed, its hop is called off first, once the invoker is set aside.
+void Controller::rescue(Invoker& invoker) {
+    if (doubting_) return;
+    for (Function* function : std::vector<Function*>(functions_))
+        if (function->loading == &invoker) load_over(*function);
+    for (Hop* hop : std::vector<Hop*>(invoker.out)) {
+        Job& job = *hop->job;
+        if (job.state != JobState::hopping || hop != &job.hops.back()) continue;
+        if (may_.second_copies) {
+            const Choice choice = choose(job);
+            if (choice.invoker && choice.invoker != &invoker) start_hop(job, choice);
+        } else if (may_.call_off && invoker.standing == Standing::aside &&
+                   job.use_case->repeat == Repeat::replayable) {
+            results_.called_off.push_back(hop);
+        }
+    }
+}
+
+// A restart, or long silence: nothing stands loaded there any more.
+void Controller::forget(Invoker& invoker) {
+    for (Function* function : functions_)
+        if (Belief* belief = belief_of(*function, invoker)) {
+            belief->until = Time{};
+            belief->peak = 0;
+        }
+    invoker.held.reset();
+}
+
+// The periodic work of an instance.
+void Controller::sweep() {
+    std::size_t ready = 0, good = 0;
+    double units = 0;
+    for (Invoker* invoker : fleet_) {
+        if (!invoker->listed || !invoker->ready) continue;
+        ++ready;
+        const Standing standing = invoker->standing;
+        if (standing == Standing::trusted || standing == Standing::easing) ++good;
+        if (standing == Standing::trusted && !invoker->cold_since) units += invoker->units;
+        if (standing == Standing::aside) {
+            if (now_ - invoker->aside_since > copies_gone) forget(*invoker);
+            if (!may_.probe && now_ - invoker->aside_since > blind_aside) {
+                invoker->standing = Standing::easing;
+                invoker->easy = 1;
+            }
+        }
+        const bool ill = standing == Standing::suspect || standing == Standing::aside;
+        const bool stale = now_ - invoker->heard > quiet_gap || now_ - invoker->held_at > probe_gap;
+        if (may_.probe && !invoker->probing && (ill || (stale && now_ - invoker->probed > probe_gap))) {
+            invoker->probing = true;
+            invoker->probed = now_;
+            results_.probed.push_back(invoker);
+        }
+    }
+    doubting_ = static_cast<double>(good) < doubt_share * static_cast<double>(ready);
+    if (units > 0) rate_ += 0.1 * (honoured_lately_ / in_seconds(sweep_period) / units - rate_);
+    honoured_lately_ = 0;
+
+    std::erase_if(functions_, [&](Function* function) {
+        std::erase_if(function->beliefs, [&](const Belief& b) { return b.out == 0 && b.until <= now_; });
+        const bool idle = function->jobs == 0 && function->beliefs.empty() && !function->loading &&
+                          now_ - function->last_wanted > forget_function;
+        if (idle) results_.forgotten.push_back(function);
+        return idle;
+    });
+}
+
+// ---------------------------------------------------------------- time
+
+Results Controller::wake(Time now) {
+    now_ = now;
+    while (!due_.empty() && due_.begin()->first.first <= now) {
+        const Due due = due_.begin()->second;
+        if (due.job) {
+            give_up(*due.job);  // its time is up
+            continue;
+        }
+        Function& function = *due.function;
+        if (now >= function.clock + park_budget) {
+            function.ticking = false;
+            drop_due(function.due);
+            for (Job* job : std::vector<Job*>(function.parked)) give_up(*job);  // step 4
+            continue;
+        }
+        function.delay = span_of(in_seconds(function.delay) * delay_growth);
+        function.resend = now + span_of(in_seconds(function.delay) * (1 + delay_jitter * (2 * chance() - 1)));
+        clock_due(function);
+        release(function);
+    }
+    return done();
+}
+
+void Controller::set_due(Ticket& slot, Time at, Due what) {
+    drop_due(slot);
+    slot = {at, ++tickets_};
+    due_.emplace(slot, what);
+}
+
+void Controller::drop_due(Ticket& slot) {
+    if (slot.second) due_.erase(slot);
+    slot = {};
+}
+
+Results Controller::done() {
+    if (sweep_at_ == Time{}) {
+        sweep_at_ = now_ + span_of(in_seconds(sweep_period) * (0.5 + chance()));
+        results_.follow_list = may_.ask_for_list;
+    }
+    if (now_ >= sweep_at_) {
+        sweep_at_ = now_ + sweep_period;
+        sweep();
+    }
+    results_.next_wake = due_.empty() ? sweep_at_ : std::min(sweep_at_, due_.begin()->first.first);
+    return std::exchange(results_, {});
+}
+
+}  // namespace plumkeel
--- /dev/null
+++ b/src/dispatch/controller.hpp
@@ -0,0 +1,90 @@
+// The interface of the decision module: one Controller for each controller, sharing nothing with others.
+// Its decisions are in controller.cpp. Every call says what happened and when, and returns what to do.
+#pragma once
+
+#include <map>
+
+#include "types.hpp"
+
+namespace plumkeel {
+
+class Controller {
+public:
+    Controller(std::uint64_t seed, Rulebook rules, Allowances may);
+
+    Results take(Time now, Job& job);
+    Results hop_accepted(Time now, Hop& hop);
+    Results hop_ended(Time now, Hop& hop, Ending ending, Note note, int company, const Report& report);
+    Results client_left(Time now, Job& job);
+    // Invokers whose facts changed; with `complete`, all others are gone.
+    Results fleet_changed(Time now, const std::vector<Invoker*>& changed, bool complete);
+    Results list_broke(Time now);
+    Results probe_answered(Time now, Invoker& invoker, bool answered, const Report& report);
+    Results load_answered(Time now, Function& function, Invoker& invoker, Ending ending, int copies);
+    Results wake(Time now);
+
+private:
+    struct Choice {
+        Invoker* invoker{};
+        double finish{};  // seconds from now
+        double wait{};    // of these, caused by others' jobs
+        bool warm{};
+    };
+    struct Due {
+        Job* job{};
+        Function* function{};
+    };
+
+    Results done();
+    void place(Job& job);
+    void turn(Job& job, JobState to);
+    void give_up(Job& job);
+    void park(Job& job);
+    void release(Function& function);
+    void start_hop(Job& job, const Choice& choice);
+    void load_over(Function& function);
+    Choice choose(Job& job);
+    double estimate(const Function& function, const Invoker& invoker, const Belief* belief, Choice& choice) const;
+
+    bool may_hop(const Job& job, const Invoker& invoker) const;
+    bool may_bounce(const Job& job) const;
+    bool may_send_to(Invoker& invoker);
+    bool may_order();
+
+    void learn(const Hop& hop, Note note, int company);
+    void hear(Invoker& invoker, const Report& report);
+    void mistrust(Invoker& invoker, bool certain);
+    void answered_well(Invoker& invoker);
+    void rescue(Invoker& invoker);
+    void forget(Invoker& invoker);
+    void sweep();
+    void set_due(Ticket& slot, Time at, Due what);
+    void drop_due(Ticket& slot);
+    void clock_due(Function& function);
+
+    void meet(Function& function);
+    Belief* belief_of(Function& function, const Invoker& invoker) const;
+    Belief& believe(Function& function, Invoker& invoker);
+    double load_time(const Function& function) const;
+    double crowd_at(const Invoker& invoker) const;
+    double chance();
+
+    const Rulebook rules_;
+    const Allowances may_;
+    std::uint64_t dice_;
+    Time now_{};
+    Results results_;
+    std::vector<Invoker*> fleet_;
+    std::vector<Function*> functions_;
+    std::map<Ticket, Due> due_;
+    std::uint64_t tickets_{};
+    Time sweep_at_{};
+    bool doubting_{};  // nearly all invokers look bad: the judgement is doubted, not the fleet
+    std::size_t parked_{};
+    double run_{}, load_{};  // learned over all functions, in seconds
+    double rate_{};          // honoured hops a second for each unit of trusted invokers
+    int honoured_lately_{};
+    std::deque<Time> taken_, orders_;  // kept for the ration only
+};
+
+}  // namespace plumkeel
--- /dev/null
+++ b/src/dispatch/types.hpp
@@ -0,0 +1,208 @@
+// Plain data shared by the decision module and whoever hosts it. Nothing is decided here.
+//
+// The host owns Job, Invoker and Function objects and hands out pointers to them. It fills the part marked
+// "set at the door" before the object first crosses the interface; the rest belongs to the module.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace plumkeel {
+
+using Time = std::chrono::microseconds;  // a span, or a moment as the span since the instance's start
+using Ticket = std::pair<Time, std::uint64_t>;  // a place in the controller's ordered list of due times
+
+struct Function;
+struct Invoker;
+struct Job;
+
+enum class Repeat { replayable, referenced, single_use };
+enum class Reach { everywhere, zone, cell };  // how far the mark of a referenced job is known
+
+struct UseCase {
+    Time promised{};
+    Time expiry{};
+    double credit{};
+    double late_credit{};
+    Repeat repeat{};
+    Reach reach{};
+    Time remembered{};
+};
+
+struct Tenant {
+    double share_per_s{};  // jobs a second, over all controllers; 0: none stated
+    double level{};        // the module's fading count of arrivals
+    Time seen{};
+};
+
+// What the deployment forbids.
+struct Rulebook {
+    Time answer_slack{};
+    Time cold_for{};
+    double cold_share{};
+    double push_multiple{};
+    Time push_span{};
+    Time load_span{};
+    double free_loads{};
+    double loads_per_job{};
+};
+
+// What the deployment lets a controller do, and tells it.
+struct Allowances {
+    bool call_off{};
+    bool probe{};
+    bool second_copies{};
+    bool retry_after{};
+    bool order_copies{};
+    bool ask_for_list{};  // the list of invokers has to be followed on order
+    bool loads_on_demand{};
+    bool steady_units{};  // an invoker's units stay the same from list to list
+    int hops{};
+    int controllers{};
+    Time longest_retry_after{};
+    Time keep_alive{};
+    Time tick{};
+    double over_share_credit{};
+    double memory_price{};
+    double crossing_price{};
+    std::string zone;
+};
+
+enum class Ending {
+    honoured,
+    errored,
+    turned_away,  // proves that it never ran, as do the next three
+    unreachable,
+    never_sent,
+    not_loaded,
+    overdue,
+    cut_off,
+    called_off,
+};
+
+enum class Note { none, stood_loaded, began_load, joined_load, load_broke };
+
+struct Report {  // any figure may be missing
+    std::optional<double> held, queued, loads;
+};
+
+struct Hop {
+    Job* job{};
+    Invoker* invoker{};
+    int number{};
+    Time sent{};
+    Time limit{};
+    bool out{};
+    bool loads{};  // this hop is its function's load attempt
+    bool expected_warm{};
+    int beside{};        // own jobs of the function there when it left
+    double crowd{};      // jobs thought to be there when it left
+    std::optional<Ending> ending;
+};
+
+enum class JobState { fresh, hopping, parked, streaming, honoured, bounced, written_off, abandoned };
+
+struct Job {
+    std::uint64_t id{};  // set at the door, down to `retry`
+    const UseCase* use_case{};
+    Tenant* tenant{};
+    Function* function{};
+    Time time_left{};
+    bool retry{};
+
+    JobState state{};
+    Time taken{}, promised{}, expires{};
+    std::deque<Hop> hops;
+    Ticket due{};
+    Time retry_after{};
+    bool over_share{};
+
+    bool answered() const { return state >= JobState::honoured; }
+    bool closed() const {
+        for (const Hop& hop : hops)
+            if (hop.out) return false;
+        return answered();
+    }
+};
+
+struct Belief {  // what the controller takes a function's standing at one invoker to be
+    Invoker* invoker{};
+    Time until{};   // it lapses then
+    int out{};      // own hops of the function there
+    int peak{};     // most jobs of it seen there at once, lately
+    Time peaked{};
+    bool ordered{};
+};
+
+struct Function {
+    std::string name;  // set at the door, down to `told_load`
+    int lanes{};
+    double memory{};
+    std::optional<Time> told_load;
+
+    bool known{};
+    std::uint64_t print{};
+    double run{};   // learned, in seconds on an idle average invoker
+    double load{};  // learned, in seconds
+    std::vector<Belief> beliefs;
+    std::vector<Job*> parked;
+    Invoker* loading{};  // where its one load attempt is out
+    Time loading_since{};
+    Time clock{};  // when the budget clock started
+    bool ticking{};
+    Time delay{}, resend{};
+    Ticket due{};
+    Time last_wanted{};
+    int jobs{};  // unclosed
+};
+
+enum class Standing { trusted, suspect, aside, easing };
+
+struct Invoker {
+    std::string name;  // set at the door, down to `cell`, and again with each change
+    bool ready{};
+    double units{};
+    std::string kind, zone;
+    int cell{};
+    std::optional<Time> started;  // absent: long ago
+
+    bool known{}, listed{};
+    std::uint64_t print{};
+    std::optional<Time> cold_since, cold_from;
+    std::deque<Time> cold_hops;
+    Standing standing{};
+    int missed{}, answered{}, easy{};
+    bool probing{};
+    Time probed{}, heard{}, aside_since{};
+    std::vector<Hop*> out;
+    double pace{}, press{};  // learned: slowness when idle, and slowness for each job held
+    std::optional<double> held;
+    Time held_at{};
+    int out_then{};
+    Time shun_until{};
+};
+
+struct CopyOrder {
+    Function* function{};
+    Invoker* invoker{};
+    int copies{};  // 0: unload the idle ones
+};
+
+// What came of one call, in the controller's own objects. The host carries out the lists in this order.
+struct Results {
+    std::vector<Hop*> called_off;
+    std::vector<Job*> answered;
+    std::vector<Hop*> started;
+    std::vector<Invoker*> probed;
+    std::vector<CopyOrder> ordered;
+    std::vector<Function*> forgotten;  // the host may free these
+    bool follow_list{};
+    Time next_wake{};
+};
+
+}  // namespace plumkeel
--- /dev/null
+++ b/src/simhost/main.cpp
@@ -0,0 +1,386 @@
+// The adapter to the simulator's wire: one line of JSON in, one out. It decodes into calls of the decision
+// module, encodes what they return, hosts an instance of the module for each controller, and turns ids into
+// objects. All names of the wire end here, and nothing is decided here.
+#include <cmath>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <unordered_map>
+
+#include "dispatch/controller.hpp"
+
+namespace {
+
+using nlohmann::json;
+using namespace plumkeel;
+
+struct Fault : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+Time from_ms(double ms) { return Time(std::llround(ms * 1000.0)); }
+double to_ms(Time t) { return static_cast<double>(t.count()) / 1000.0; }
+
+// A field that may be absent or null.
+template <class T>
+T get(const json& object, const char* key, T otherwise = {}) {
+    const auto it = object.find(key);
+    if (it == object.end() || it->is_null()) return otherwise;
+    try {
+        return it->get<T>();
+    } catch (const json::exception&) {
+        throw Fault(std::string("field '") + key + "' is of the wrong type");
+    }
+}
+
+bool has(const json& object, const char* key) {
+    const auto it = object.find(key);
+    return it != object.end() && !it->is_null();
+}
+
+template <class T>
+T need(const json& object, const char* key) {
+    if (!has(object, key)) throw Fault(std::string("field '") + key + "' is missing");
+    return get<T>(object, key);
+}
+
+Time span(const json& object, const char* key) { return from_ms(get<double>(object, key)); }
+
+const json& part(const json& object, const char* key) {
+    static const json nothing = json::object();
+    const auto it = object.find(key);
+    if (it == object.end() || it->is_null()) return nothing;
+    if (!it->is_object()) throw Fault(std::string("field '") + key + "' is no object");
+    return *it;
+}
+
+Repeat repeat_of(const std::string& word) {
+    if (word == "retryable") return Repeat::replayable;
+    return word == "dedup" ? Repeat::referenced : Repeat::single_use;
+}
+
+Reach reach_of(const std::string& word) {
+    if (word == "all") return Reach::everywhere;
+    return word == "zone" ? Reach::zone : Reach::cell;
+}
+
+Ending ending_of(const std::string& word) {
+    if (word == "completed") return Ending::honoured;
+    if (word == "saturated") return Ending::turned_away;
+    if (word == "refused_conn") return Ending::unreachable;
+    if (word == "superseded") return Ending::never_sent;
+    if (word == "lookup_miss") return Ending::not_loaded;
+    if (word == "overdue") return Ending::overdue;
+    if (word == "severed") return Ending::cut_off;
+    if (word == "recalled") return Ending::called_off;
+    return Ending::errored;  // the wire's own word, or one not known here: nothing is proven
+}
+
+Note note_of(std::int64_t remark) {
+    switch (remark % 8) {
+        case 1: return Note::stood_loaded;
+        case 2: return Note::began_load;
+        case 3: return Note::joined_load;
+        case 4: return Note::load_broke;
+        default: return Note::none;
+    }
+}
+
+class Instance {
+public:
+    Instance(std::string who, Time clock, const json& hello) : who_(std::move(who)), start_(clock) {
+        const json& setup = part(hello, "setup");
+        const json& rules = part(setup, "rules");
+        const json& family = part(setup, "family_info");
+        const json& limits = part(setup, "limits");
+        const json& charges = part(setup, "charges");
+
+        Rulebook book;
+        book.answer_slack = span(rules, "grace_to_answer");
+        book.cold_for = span(rules, "cold");
+        book.cold_share = get<double>(rules, "cold_share");
+        book.push_multiple = get<double>(rules, "fall_multiple");
+        book.push_span = span(rules, "overload_for");
+        book.load_span = span(family, "load_span");
+        book.free_loads = get<double>(family, "free_loads");
+        book.loads_per_job = get<double>(family, "loads_per_request");
+
+        Allowances may;
+        may.call_off = get<bool>(limits, "may_cancel");
+        may.probe = get<bool>(limits, "probes");
+        may.second_copies = get<bool>(limits, "second_copies");
+        may.retry_after = get<bool>(limits, "retry_after");
+        may.hops = get<int>(limits, "send_cap");
+        may.longest_retry_after = span(limits, "max_retry_after");
+        may.order_copies = get<bool>(family, "may_order");
+        may.loads_on_demand = get<std::string>(family, "if_cold") != "miss";
+        may.keep_alive = span(family, "linger_idle");
+        may.memory_price = get<double>(family, "memory_price");
+        may.crossing_price = get<double>(charges, "cross_zone");
+        may.ask_for_list = get<std::string>(setup, "discovery") == "subscribe";
+        may.steady_units = get<std::string>(setup, "weight_source") != "live";
+        may.controllers = get<int>(setup, "fleet_size");
+        may.tick = span(setup, "quantum");
+        may.over_share_credit = get<double>(setup, "over_share_worth");
+        may.zone = get<std::string>(setup, "zone");
+        says_company_ = get<bool>(family, "says_company");
+
+        for (const json& entry : get<json>(setup, "classes", json::array())) {
+            UseCase& use = use_cases_[need<std::string>(entry, "name")];
+            use.promised = span(entry, "aim");
+            use.expiry = span(entry, "deadline");
+            use.credit = get<double>(entry, "worth");
+            use.late_credit = get<double>(entry, "late_value");
+            use.repeat = repeat_of(get<std::string>(entry, "semantics"));
+            use.reach = reach_of(get<std::string>(entry, "group"));
+            use.remembered = span(entry, "repeat_window");
+        }
+        for (const json& entry : get<json>(setup, "realms", json::array()))
+            tenants_[need<std::string>(entry, "name")].share_per_s = get<double>(entry, "quota_per_s");
+        for (const json& name : get<json>(part(setup, "report"), "fields", json::array()))
+            fields_.push_back(name.is_string() ? name.get<std::string>() : std::string());
+        controller_ = std::make_unique<Controller>(seed_of(hello), book, may);
+    }
+
+    void event(const std::string& kind, const json& e, Time clock, const json* bank, json& actions) {
+        const Time now = clock - start_;
+        if (kind == "ASK") {
+            take(e, now, actions);
+        } else if (kind == "DONE" || kind == "ACCEPTED") {
+            const auto it = jobs_.find(need<std::uint64_t>(e, "txn"));
+            const auto number = need<std::uint64_t>(e, "seq_no");
+            if (it == jobs_.end() || number >= it->second->hops.size()) return;
+            Hop& hop = it->second->hops[number];
+            if (!hop.out) return;
+            if (kind == "ACCEPTED") return carry_out(controller_->hop_accepted(now, hop), now, actions);
+            const auto remark = get<std::int64_t>(e, "remark");
+            const int company = says_company_ ? static_cast<int>(remark / 8) : 0;
+            const Ending ending = ending_of(need<std::string>(e, "state_code"));
+            carry_out(controller_->hop_ended(now, hop, ending, note_of(remark), company, report(e)), now, actions);
+            drop_if_closed(need<std::uint64_t>(e, "txn"));
+        } else if (kind == "HANGUP") {
+            const auto it = jobs_.find(need<std::uint64_t>(e, "txn"));
+            if (it == jobs_.end()) return;
+            carry_out(controller_->client_left(now, *it->second), now, actions);
+            drop_if_closed(need<std::uint64_t>(e, "txn"));
+        } else if (kind == "WAKEUP") {
+            if (get<std::string>(e, "ref") != std::to_string(armings_)) return;  // an older timer
+            armed_ = Time::max();
+            carry_out(controller_->wake(now), now, actions);
+        } else if (kind == "DIRECTORY_UPDATE") {
+            list(e, now, bank, actions);
+        } else if (kind == "CHECK_RESULT") {
+            Invoker* invoker = known(e);
+            if (!invoker) return;
+            const bool answered = need<std::string>(e, "state_code") == "completed";
+            carry_out(controller_->probe_answered(now, *invoker, answered, report(e)), now, actions);
+        } else if (kind == "LOAD_DONE") {
+            Invoker* invoker = known(e);
+            const auto it = functions_.find(need<std::string>(e, "function"));
+            if (!invoker || it == functions_.end()) return;
+            const Ending ending = ending_of(need<std::string>(e, "state_code"));
+            carry_out(controller_->load_answered(now, *it->second, *invoker, ending, get<int>(e, "count")), now,
+                      actions);
+        }
+    }
+
+private:
+    static std::uint64_t seed_of(const json& hello) {
+        const auto it = hello.find("init_seed");
+        if (it == hello.end() || !it->is_number()) return 0;
+        return it->is_number_integer() ? it->get<std::uint64_t>() : static_cast<std::uint64_t>(it->get<double>());
+    }
+
+    void take(const json& e, Time now, json& actions) {
+        const auto use = use_cases_.find(need<std::string>(e, "cls"));
+        if (use == use_cases_.end()) throw Fault("a job of a use case that the settings do not name");
+        const auto name = get<std::string>(e, "function");
+        std::unique_ptr<Function>& function = functions_[name];
+        if (!function) function = std::make_unique<Function>();
+        function->name = name;
+        function->lanes = get<int>(e, "per_copy", 1);
+        function->memory = get<double>(e, "resident_mb");
+        if (has(e, "warm_ms")) function->told_load = span(e, "warm_ms");
+        const auto id = need<std::uint64_t>(e, "txn");
+        auto [it, fresh] = jobs_.try_emplace(id, std::make_unique<Job>());
+        if (!fresh) throw Fault("a job's id came twice");
+        Job& job = *it->second;
+        job.id = id;
+        job.use_case = &use->second;
+        job.function = function.get();
+        job.time_left = from_ms(need<double>(e, "time_left"));
+        job.retry = get<bool>(e, "is_retry");
+        if (const auto tenant = e.find("user_group"); tenant != e.end() && tenant->is_string())
+            if (const auto found = tenants_.find(tenant->get<std::string>()); found != tenants_.end())
+                job.tenant = &found->second;
+        carry_out(controller_->take(now, job), now, actions);
+    }
+
+    void list(const json& e, Time now, const json* bank, json& actions) {
+        const auto mode = need<std::string>(e, "mode");
+        if (mode == "error") return carry_out(controller_->list_broke(now), now, actions);
+        if (!bank) throw Fault("a list refers to a bank that never came");
+        std::vector<Invoker*> changed;
+        for (const json& entry : *bank) {
+            const auto name = need<std::string>(entry, "invoker");
+            std::unique_ptr<Invoker>& invoker = invokers_[name];
+            if (!invoker) invoker = std::make_unique<Invoker>();
+            invoker->name = name;
+            invoker->ready = get<std::string>(entry, "readiness") == "Ready";
+            invoker->units = get<double>(entry, "units", 1.0);
+            invoker->kind = get<std::string>(entry, "shape");
+            invoker->zone = get<std::string>(entry, "locality");
+            invoker->cell = get<int>(entry, "unit_group");
+            invoker->started.reset();
+            if (const Time started = span(entry, "start_time"); started != Time{})
+                invoker->started = started - start_;
+            changed.push_back(invoker.get());
+        }
+        carry_out(controller_->fleet_changed(now, changed, mode != "diff"), now, actions);
+    }
+
+    void drop_if_closed(std::uint64_t id) {
+        if (const auto it = jobs_.find(id); it != jobs_.end() && it->second->closed()) jobs_.erase(it);
+    }
+
+    Invoker* known(const json& e) {
+        const auto it = invokers_.find(need<std::string>(e, "invoker"));
+        return it == invokers_.end() ? nullptr : it->second.get();
+    }
+
+    Report report(const json& e) const {
+        Report out;
+        const auto it = e.find("gauge");
+        if (it == e.end() || !it->is_array()) return out;
+        for (std::size_t i = 0; i < it->size() && i < fields_.size(); ++i) {
+            if (!(*it)[i].is_number()) continue;
+            const double value = (*it)[i].get<double>();
+            if (fields_[i] == "active") out.held = value;
+            if (fields_[i] == "waiting") out.queued = value;
+            if (fields_[i] == "x1") out.loads = value;
+        }
+        return out;
+    }
+
+    void carry_out(const Results& results, Time now, json& actions) {
+        auto act = [&](const char* kind) -> json& {
+            actions.push_back({{"msg", kind}, {"who", who_}});
+            return actions.back();
+        };
+        if (results.follow_list) act("WATCH")["active"] = true;
+        for (const Hop* hop : results.called_off) {
+            json& a = act("STOP_ATTEMPT");
+            a["txn"] = hop->job->id;
+            a["seq_no"] = hop->number;
+        }
+        for (const Job* job : results.answered) {
+            json& a = act(job->state == JobState::bounced ? "NOT_NOW" : "ERROR");
+            a["txn"] = job->id;
+            if (job->state == JobState::bounced && job->retry_after > Time{}) a["pause"] = to_ms(job->retry_after);
+        }
+        for (const Hop* hop : results.started) {
+            json& a = act("CALL_OUT");
+            a["txn"] = hop->job->id;
+            a["invoker"] = hop->invoker->name;
+            a["within"] = to_ms(std::max(hop->limit, Time(1)));
+        }
+        for (const Invoker* invoker : results.probed) act("PROBE")["invoker"] = invoker->name;
+        for (const CopyOrder& order : results.ordered) {
+            json& a = act(order.copies > 0 ? "HOLD_THERE" : "SHELVE");
+            a["invoker"] = order.invoker->name;
+            a["function"] = order.function->name;
+            if (order.copies > 0) a["count"] = order.copies;
+        }
+        for (const Job* job : results.answered) drop_if_closed(job->id);
+        for (const Function* function : results.forgotten) functions_.erase(std::string(function->name));
+        if (results.next_wake < armed_) {
+            armed_ = results.next_wake;
+            json& a = act("AFTER");
+            a["after"] = to_ms(std::max(armed_ - now, Time{}));
+            a["ref"] = std::to_string(++armings_);
+        }
+    }
+
+    const std::string who_;
+    const Time start_;
+    std::map<std::string, UseCase> use_cases_;
+    std::map<std::string, Tenant> tenants_;
+    std::vector<std::string> fields_;
+    bool says_company_{};
+    std::unordered_map<std::uint64_t, std::unique_ptr<Job>> jobs_;
+    std::unordered_map<std::string, std::unique_ptr<Function>> functions_;
+    std::unordered_map<std::string, std::unique_ptr<Invoker>> invokers_;
+    std::unique_ptr<Controller> controller_;
+    Time armed_ = Time::max();
+    std::uint64_t armings_{};
+};
+
+class Host {
+public:
+    json answer(const json& batch) {
+        if (!batch.is_object()) throw Fault("a batch is no object");
+        const Time clock = from_ms(need<double>(batch, "sim_time"));
+        json actions = json::array();
+        const auto events = batch.find("in");
+        if (events == batch.end() || !events->is_array()) throw Fault("field 'in' is missing or no array");
+        for (const json& e : *events) {
+            if (!e.is_object()) throw Fault("an event is no object");
+            event(e, clock, actions);
+        }
+        return {{"actions", std::move(actions)}};
+    }
+
+private:
+    void event(const json& e, Time clock, json& actions) {
+        const auto kind = need<std::string>(e, "msg");
+        if (kind == "MANIFEST") {
+            banks_[need<int>(e, "bank")] = need<json>(e, "nodes_list");
+            return;
+        }
+        if (!has(e, "who")) return;
+        const auto who = need<std::string>(e, "who");
+        if (kind == "HELLO") {
+            instances_[who] = std::make_unique<Instance>(who, clock, e);
+            return;
+        }
+        const auto it = instances_.find(who);
+        if (it == instances_.end()) throw Fault("event " + kind + " for the unknown instance " + who);
+        if (kind == "CRASH_NOW") {
+            instances_.erase(it);
+            return;
+        }
+        const json* bank = nullptr;
+        if (kind == "DIRECTORY_UPDATE")
+            if (const auto found = banks_.find(get<int>(e, "bank")); found != banks_.end()) bank = &found->second;
+        it->second->event(kind, e, clock, bank, actions);
+    }
+
+    std::map<int, json> banks_;
+    std::map<std::string, std::unique_ptr<Instance>> instances_;
+};
+
+}  // namespace
+
+int main() {
+    std::ios::sync_with_stdio(false);
+    Host host;
+    std::string line;
+    std::uint64_t number = 0;
+    while (std::getline(std::cin, line)) {
+        ++number;
+        if (line.empty()) continue;
+        try {
+            std::cout << host.answer(json::parse(line)).dump() << '\n' << std::flush;
+        } catch (const json::parse_error&) {
+            std::cerr << "plumkeel_simhost: line " << number << ": not JSON\n";
+            return 1;
+        } catch (const std::exception& fault) {
+            std::cerr << "plumkeel_simhost: line " << number << ": " << fault.what() << '\n';
+            return 1;
+        }
+    }
+    return 0;
+}
