--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -35,7 +35,7 @@
 constexpr double odd_run = 4.0;  // a run this many times the expected teaches no more than that
 
 // Shedding: part of the promised time that waiting behind other jobs may take.
-constexpr double shed_wait = 0.8, shed_wait_over_share = 0.4;
+constexpr double shed_wait = 0.5, shed_wait_over_share = 0.25;
 constexpr double over_share = 1.2;
 constexpr double tenant_span = 3.0;  // seconds
 
@@ -97,7 +97,7 @@
     // behind it late as well. Guards against overload, a tenant over its share and retry storms; it could harm
     // where run times are overestimated.
     const double patience = (job.over_share ? shed_wait_over_share : shed_wait) * in_seconds(job.use_case->promised);
-    if (best.wait > patience && best.finish > left && may_bounce(job)) return give_up(job);
+    if (best.wait > patience && best.finish > 0.6 * left && may_bounce(job)) return give_up(job);
 
     // Step 2: one load attempt a function. While it is out and no warm copy answers in time, jobs wait for it.
     const bool wait_for_load = function.loading && (!best.warm || best.finish > left);
