--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -31,6 +31,7 @@
 constexpr double assumed_run = 0.15, assumed_load = 1.0;  // seconds, until something is learned
 constexpr double assumed_press = 0.2;
 constexpr double copy_share = 0.45;  // of a load: a further copy beside a standing one needs no fetch
+constexpr double join_share = 0.8;   // of a load's time, after which its jobs stop waiting for its answer
 constexpr Time report_fresh = 1500ms;
 constexpr double odd_run = 4.0;  // a run this many times the expected teaches no more than that
 
@@ -100,7 +101,10 @@
     if (best.wait > patience && best.finish > 0.6 * left && may_bounce(job)) return give_up(job);
 
     // Step 2: one load attempt a function. While it is out and no warm copy answers in time, jobs wait for it.
-    const bool wait_for_load = function.loading && (!best.warm || best.finish > left);
+    // Where no order tells its end, a load counts as answered once its learned time has passed: its own answer
+    // comes only behind the first job's run. (Exception "join"; harm: jobs wait at the invoker if it is slow.)
+    const bool wait_for_load = function.loading && (!best.warm || best.finish > left) &&
+                               now_ - function.loading_since < span_of(join_share * load_time(function));
     if (wait_for_load && parked_ < park_limit) return park(job);
 
     if (!best.warm && may_.order_copies && !function.loading && may_order()) {
@@ -123,8 +127,12 @@
         function.clock = now_;
         function.delay = first_delay;
         function.resend = now_ + function.delay;
-        clock_due(function);
     }
+    if (function.loading) {
+        const Time ends = function.loading_since + span_of(join_share * load_time(function));
+        if (ends > now_) function.resend = std::min(function.resend, ends);
+    }
+    clock_due(function);
 }
 
 void Controller::clock_due(Function& function) {
