--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -26,6 +26,9 @@
 
 // The pick.
 constexpr std::size_t homes = 2;
+constexpr std::size_t most_homes = 5;
+constexpr double spread_wait = 0.2;  // of the promised time: behind others, before more homes are looked at
+constexpr double spread_calm = 0.05;  // and what a further home may make it wait
 constexpr double second_home_bias = 1.15;  // a cold second home must be this much better than the first
 constexpr double tie = 0.002;              // seconds
 constexpr double assumed_run = 0.15, assumed_load = 1.0;  // seconds, until something is learned
@@ -331,15 +334,26 @@
         const Home home{invoker, -std::log(u) / units};
         auto at = std::find_if(order.begin(), order.end(), [&](const Home& h) { return home.rank < h.rank; });
         order.insert(at, home);
-        if (order.size() > homes) order.pop_back();
+        if (order.size() > most_homes) order.pop_back();
     }
-    for (std::size_t i = 0; i < order.size(); ++i) consider(*order[i].invoker, i ? second_home_bias : 1);
+    for (std::size_t i = 0; i < order.size() && i < homes; ++i)
+        consider(*order[i].invoker, i ? second_home_bias : 1);
     for (const Belief& belief : function.beliefs) {
         if (belief.until <= now_ || !usable(*belief.invoker)) continue;
-        if (std::any_of(order.begin(), order.end(), [&](const Home& h) { return h.invoker == belief.invoker; }))
+        const auto known = std::min(order.begin() + homes, order.end());
+        if (std::any_of(order.begin(), known, [&](const Home& h) { return h.invoker == belief.invoker; }))
             continue;
         consider(*belief.invoker, 1);
     }
+    // Exception "spread": where all of these are crowded, the next in the shared order serve as homes too. For
+    // favourites that two invokers can't carry; it costs loads, so it acts only on much waiting.
+    for (std::size_t i = homes; i < order.size(); ++i) {
+        if (best.invoker && best.wait < spread_wait * in_seconds(job.use_case->promised)) break;
+        Choice there;
+        estimate(function, *order[i].invoker, nullptr, there);
+        if (there.wait < spread_calm * in_seconds(job.use_case->promised))
+            consider(*order[i].invoker, second_home_bias);
+    }
     if (best.invoker || doubting_) return best;
     // Nobody of the shared order may be sent to: any usable one is better than none.
     for (Invoker* invoker : fleet_)
