--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -562,7 +562,8 @@
 
 void Controller::hear(Invoker& invoker, const Report& report) {
     if (!report.held) return;
-    invoker.held = report.held;
+    // What waits there, for a lane or a load, presses on no core.
+    invoker.held = std::max(0.0, *report.held - report.queued.value_or(0));
     invoker.held_at = now_;
     invoker.out_then = static_cast<int>(invoker.out.size());
 }
