--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -26,7 +26,6 @@
 
 // The pick.
 constexpr std::size_t homes = 2;
-constexpr std::size_t most_homes = 5;
 constexpr double spread_wait = 0.2;  // of the promised time: behind others, before more homes are looked at
 constexpr double spread_calm = 0.05;  // and what a further home may make it wait
 constexpr double second_home_bias = 1.15;  // a cold second home must be this much better than the first
@@ -39,7 +38,7 @@
 constexpr double odd_run = 4.0;  // a run this many times the expected teaches no more than that
 
 // Shedding: part of the promised time that waiting behind other jobs may take.
-constexpr double shed_wait = 0.5, shed_wait_over_share = 0.25;
+constexpr double shed_wait = 0.5, shed_wait_over_share = 0.25, shed_finish = 0.6;
 constexpr double over_share = 1.2;
 constexpr double tenant_span = 3.0;  // seconds
 
@@ -50,6 +49,7 @@
 constexpr int misses_aside = 2, answers_back = 2, eased = 8, first_ease = 2;
 constexpr Time copies_gone = 3s;   // silent for longer than any stall: its copies are not counted on
 constexpr Time shun = 300ms;       // after it turned a job away
+constexpr Time least_no_room = 1s, most_no_room = 8s;
 constexpr Time blind_aside = 2s;   // where no probe may be sent
 constexpr double doubt_share = 0.34;
 
@@ -92,16 +92,21 @@
     Function& function = *job.function;
     if (static_cast<int>(job.hops.size()) >= may_.hops) return give_up(job);
     const double left = in_seconds(job.promised - now_);
-    const Choice best = choose(job);
+    Choice best = choose(job);
 
     // No invoker may be sent anything now: wait on the function's clock.
     if (!best.invoker) return park(job);
 
     // Exception "shed": where it would answer too late only for the jobs ahead of it, it would make those
     // behind it late as well. Guards against overload, a tenant over its share and retry storms; it could harm
-    // where run times are overestimated.
+    // where run times are overestimated. Where a calm invoker is left, it brings a copy there instead.
     const double patience = (job.over_share ? shed_wait_over_share : shed_wait) * in_seconds(job.use_case->promised);
-    if (best.wait > patience && best.finish > 0.6 * left && may_bounce(job)) return give_up(job);
+    if (best.wait > patience && best.finish > shed_finish * left && may_bounce(job)) {
+        const double ready = load_time(function) - in_seconds(now_ - function.loading_since);
+        if (function.loading && ready + function.run > left) return give_up(job);
+        if (!function.loading && !best.calm) return give_up(job);
+        if (!function.loading) best = Choice{best.calm};
+    }
 
     // Step 2: one load attempt a function. While it is out and no warm copy answers in time, jobs wait for it.
     // Where no order tells its end, a load counts as answered once its learned time has passed: its own answer
@@ -302,6 +307,7 @@
     auto consider = [&](Invoker& invoker, double bias) {
         if (!may_hop(job, invoker) || !may_send_to(invoker)) return;
         Choice choice{&invoker};
+        if (invoker.no_room_until > now_ && !believed(belief_of(function, invoker))) return;
         choice.finish = estimate(function, invoker, belief_of(function, invoker), choice);
         const double worth = choice.finish + (choice.warm ? 0 : (bias - 1) * load_time(function));
         const double best_worth = best.invoker ? best.finish : 0;
@@ -334,7 +340,6 @@
         const Home home{invoker, -std::log(u) / units};
         auto at = std::find_if(order.begin(), order.end(), [&](const Home& h) { return home.rank < h.rank; });
         order.insert(at, home);
-        if (order.size() > most_homes) order.pop_back();
     }
     for (std::size_t i = 0; i < order.size() && i < homes; ++i)
         consider(*order[i].invoker, i ? second_home_bias : 1);
@@ -345,14 +350,18 @@
             continue;
         consider(*belief.invoker, 1);
     }
-    // Exception "spread": where all of these are crowded, the next in the shared order serve as homes too. For
-    // favourites that two invokers can't carry; it costs loads, so it acts only on much waiting.
-    for (std::size_t i = homes; i < order.size(); ++i) {
-        if (best.invoker && best.wait < spread_wait * in_seconds(job.use_case->promised)) break;
-        Choice there;
-        estimate(function, *order[i].invoker, nullptr, there);
-        if (there.wait < spread_calm * in_seconds(job.use_case->promised))
-            consider(*order[i].invoker, second_home_bias);
+    // Exception "spread": where all of these are crowded, the next calm one in the shared order serves as a home
+    // too, for favourites that two invokers can't carry. It costs loads, so it acts only on much waiting.
+    if (best.invoker && best.wait > spread_wait * in_seconds(job.use_case->promised)) {
+        Invoker* calm = nullptr;
+        for (std::size_t i = 0; i < order.size() && !calm; ++i) {
+            Choice there;
+            estimate(function, *order[i].invoker, nullptr, there);
+            const bool fits = may_hop(job, *order[i].invoker) && may_send_to(*order[i].invoker);
+            if (fits && order[i].invoker->no_room_until <= now_ && there.wait < spread_calm * in_seconds(job.use_case->promised)) calm = order[i].invoker;
+        }
+        if (calm) consider(*calm, second_home_bias);
+        best.calm = calm;
     }
     if (best.invoker || doubting_) return best;
     // Nobody of the shared order may be sent to: any usable one is better than none.
@@ -372,7 +381,7 @@
     const double run = function.run * press;
     const double load = load_time(function);
     choice.wait = run - function.run * invoker.pace;
-    choice.warm = belief && belief->until > now_;
+    choice.warm = believed(belief);
     const int lanes = std::max(1, function.lanes);
     const int held = belief ? belief->out : 0;
     if (choice.warm) {
@@ -398,6 +407,8 @@
     return own * std::max(1, may_.controllers);
 }
 
+bool Controller::believed(const Belief* belief) const { return belief && belief->until > now_; }
+
 Belief* Controller::belief_of(Function& function, const Invoker& invoker) const {
     for (Belief& belief : function.beliefs)
         if (belief.invoker == &invoker) return &belief;
@@ -453,8 +464,8 @@
     switch (ending) {
         case Ending::honoured: learn(hop, note, company); break;
         case Ending::turned_away:
-            invoker.shun_until = now + shun;
             answered_well(invoker);
+            turned_away(invoker);
             break;
         case Ending::unreachable: mistrust(invoker, true); break;
         case Ending::cut_off: mistrust(invoker, false); break;
@@ -512,7 +523,7 @@
     }
     if (ending == Ending::unreachable) mistrust(invoker, true);
     if (ending == Ending::cut_off) mistrust(invoker, false);
-    if (ending == Ending::turned_away) invoker.shun_until = now + shun;
+    if (ending == Ending::turned_away) turned_away(invoker);
     if (function.loading == &invoker) {
         // Step 3: what could not be loaded is tried again with the next resend, not at once.
         if (ending == Ending::honoured || copies > 0) load_over(function);
@@ -649,6 +660,16 @@
     }
 }
 
+// An invoker that turned a job away is left alone for a moment, and for longer where a copy would need room:
+// each time in a row for twice as long. Against memory that is full and against resends that hammer.
+void Controller::turned_away(Invoker& invoker) {
+    invoker.shun_until = now_ + shun;
+    if (invoker.no_room_until > now_) return;
+    invoker.no_room = now_ - invoker.no_room_until > most_no_room ? least_no_room
+                                                                   : std::min(2 * invoker.no_room, most_no_room);
+    invoker.no_room_until = now_ + invoker.no_room;
+}
+
 // Silence, resets and refused connections, whatever is behind them: first doubted, then set aside.
 void Controller::mistrust(Invoker& invoker, bool certain) {
     invoker.answered = 0;
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -29,6 +29,7 @@
         double finish{};  // seconds from now
         double wait{};    // of these, caused by others' jobs
         bool warm{};
+        Invoker* calm{};  // where a further copy would find room, if all candidates are crowded
     };
     struct Due {
         Job* job{};
@@ -55,6 +56,7 @@
     void hear(Invoker& invoker, const Report& report);
     void mistrust(Invoker& invoker, bool certain);
     void answered_well(Invoker& invoker);
+    void turned_away(Invoker& invoker);
     void rescue(Invoker& invoker);
     void forget(Invoker& invoker);
     void sweep();
@@ -63,6 +65,7 @@
     void clock_due(Function& function);
 
     void meet(Function& function);
+    bool believed(const Belief* belief) const;
     Belief* belief_of(Function& function, const Invoker& invoker) const;
     Belief& believe(Function& function, Invoker& invoker);
     double load_time(const Function& function) const;
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -184,7 +184,7 @@
     std::optional<double> held;
     Time held_at{};
     int out_then{};
-    Time shun_until{};
+    Time shun_until{}, no_room{}, no_room_until{};
 };
 
 struct CopyOrder {
