--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -40,7 +40,8 @@
 // Shedding: part of the promised time that waiting behind other jobs may take.
 constexpr double shed_wait = 0.5, shed_wait_over_share = 0.25, shed_finish = 0.6;
 constexpr double over_share = 1.2;
-constexpr double tenant_span = 3.0;  // seconds
+constexpr double level_span = 3.0;  // seconds, over which arrivals are counted, of a tenant and of a function
+constexpr double favourite = 4.0;   // such a count makes a further copy pay
 
 // Health.
 constexpr Time sweep_period = 250ms;
@@ -104,7 +105,7 @@
     if (best.wait > patience && best.finish > shed_finish * left && may_bounce(job)) {
         const double ready = load_time(function) - in_seconds(now_ - function.loading_since);
         if (function.loading && ready + function.run > left) return give_up(job);
-        if (!function.loading && !best.calm) return give_up(job);
+        if (!function.loading && (!best.calm || function.level < favourite)) return give_up(job);
         if (!function.loading) best = Choice{best.calm};
     }
 
@@ -431,14 +432,15 @@
     job.taken = now;
     job.expires = now + job.time_left;
     job.promised = std::min(now + job.use_case->promised, job.expires);
-    function.last_wanted = now;
     ++function.jobs;
+    function.level = function.level * std::exp(-in_seconds(now - function.seen) / level_span) + 1;
+    function.seen = now;
     if (rules_.load_span > Time{}) taken_.push_back(now);
     if (job.tenant && job.tenant->share_per_s > 0) {
         Tenant& tenant = *job.tenant;
-        tenant.level = tenant.level * std::exp(-in_seconds(now - tenant.seen) / tenant_span) + 1;
+        tenant.level = tenant.level * std::exp(-in_seconds(now - tenant.seen) / level_span) + 1;
         tenant.seen = now;
-        job.over_share = tenant.level / tenant_span * may_.controllers > over_share * tenant.share_per_s;
+        job.over_share = tenant.level / level_span * may_.controllers > over_share * tenant.share_per_s;
     }
     place(job);
     return done();
@@ -751,7 +753,7 @@
     std::erase_if(functions_, [&](Function* function) {
         std::erase_if(function->beliefs, [&](const Belief& b) { return b.out == 0 && b.until <= now_; });
         const bool idle = function->jobs == 0 && function->beliefs.empty() && !function->loading &&
-                          now_ - function->last_wanted > forget_function;
+                          now_ - function->seen > forget_function;
         if (idle) results_.forgotten.push_back(function);
         return idle;
     });
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -157,7 +157,8 @@
     bool ticking{};
     Time delay{}, resend{};
     Ticket due{};
-    Time last_wanted{};
+    Time seen{};
+    double level{};  // a fading count of arrivals
     int jobs{};  // unclosed
 };
 
