--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -564,13 +564,15 @@
     if (note != Note::stood_loaded && note != Note::none) return;
     if (invoker.cold_since) return;
     const double counted = std::min(took, odd_run * expected);
-    function.run += 0.1 * (counted / ratio - function.run);
-    run_ += 0.02 * (counted / ratio - run_);
+    // Under a crowd the press is learned, else the run time and the pace: so none takes up the others' part.
+    const bool crowded = invoker.press * hop.crowd > invoker.pace;
+    function.run += (crowded ? 0.02 : 0.1) * (counted / ratio - function.run);
+    run_ += (crowded ? 0.004 : 0.02) * (counted / ratio - run_);
     const double relative = counted / function.run;
-    if (invoker.press * hop.crowd <= invoker.pace)
-        invoker.pace = std::clamp(invoker.pace + 0.03 * (relative - invoker.pace), 0.3, 5.0);
+    if (crowded)
+        invoker.press = std::clamp(invoker.press + 0.05 * (relative / hop.crowd - invoker.press), 0.02, 2.0);
     else
-        invoker.press = std::clamp(invoker.press + 0.03 * (relative / hop.crowd - invoker.press), 0.02, 2.0);
+        invoker.pace = std::clamp(invoker.pace + 0.03 * (relative - invoker.pace), 0.3, 5.0);
 }
 
 void Controller::hear(Invoker& invoker, const Report& report) {
