--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -92,6 +92,7 @@
 void Controller::place(Job& job) {
     Function& function = *job.function;
     if (static_cast<int>(job.hops.size()) >= may_.hops) return give_up(job);
+    expect_load(function);
     const double left = in_seconds(job.promised - now_);
     Choice best = choose(job);
 
@@ -110,15 +111,14 @@
     }
 
     // Step 2: one load attempt a function. While it is out and no warm copy answers in time, jobs wait for it.
-    // Where no order tells its end, a load counts as answered once its learned time has passed: its own answer
-    // comes only behind the first job's run. (Exception "join"; harm: jobs wait at the invoker if it is slow.)
-    const bool wait_for_load = function.loading && (!best.warm || best.finish > left) &&
-                               now_ - function.loading_since < span_of(join_share * load_time(function));
-    if (wait_for_load && parked_ < park_limit) return park(job);
+    // Where a copy's lanes are all taken, more jobs there would only start more copies: they wait for a lane.
+    const bool wait = best.full || (function.loading && (!best.warm || best.finish > left));
+    if (wait && parked_ < park_limit) return park(job);
 
     if (!best.warm && may_.order_copies && !function.loading && may_order()) {
         function.loading = best.invoker;
         function.loading_since = now_;
+        function.load_ordered = true;
         results_.ordered.push_back({&function, best.invoker, 1});
         return park(job);
     }
@@ -137,7 +137,7 @@
         function.delay = first_delay;
         function.resend = now_ + function.delay;
     }
-    if (function.loading) {
+    if (function.loading && !function.load_ordered) {
         const Time ends = function.loading_since + span_of(join_share * load_time(function));
         if (ends > now_) function.resend = std::min(function.resend, ends);
     }
@@ -159,6 +159,16 @@
     }
 }
 
+// Where no order tells its end, a load counts as answered once its learned time has passed: its own answer comes
+// only behind the first job's run. (Exception "join"; harm: jobs wait at the invoker where the load is slow.)
+void Controller::expect_load(Function& function) {
+    if (!function.loading || function.load_ordered) return;
+    if (now_ - function.loading_since < span_of(join_share * load_time(function))) return;
+    Belief& belief = believe(function, *function.loading);
+    belief.until = now_ + may_.keep_alive;
+    function.loading = nullptr;
+}
+
 void Controller::load_over(Function& function) {
     function.loading = nullptr;
     release(function);
@@ -193,8 +203,14 @@
         hop.loads = true;
         function.loading = &invoker;
         function.loading_since = now_;
+        function.load_ordered = false;
     }
-    ++belief.out;
+    if (++belief.out >= belief.peak || now_ - belief.peaked > may_.keep_alive) {
+        belief.peak = belief.out;
+        belief.peaked = now_;
+    }
+    const int lanes = std::max(1, function.lanes);
+    belief.copies = std::max(1, std::min(belief.copies, (belief.peak + lanes - 1) / lanes));
     invoker.out.push_back(&hop);
     if (invoker.cold_since) invoker.cold_hops.push_back(now_);
     results_.started.push_back(&hop);
@@ -386,10 +402,14 @@
     const int lanes = std::max(1, function.lanes);
     const int held = belief ? belief->out : 0;
     if (choice.warm) {
-        const int room = std::max(1, (belief->peak + lanes - 1) / lanes) * lanes;
+        const int room = std::max(1, belief->copies) * lanes;
         if (held < room) return run;
-        // All lanes taken: behind the others, or on the further copy that the invoker starts by itself.
-        return run + std::min(copy_share * load, run * (held - room + 1) / room);
+        // All lanes taken: behind the others, or on the further copy that the invoker starts by itself. The more
+        // copies there are, the more may be started at once.
+        const double turn = run * (held - room + 1) / room;
+        if (held < room + std::max(1, room / 2)) return run + std::min(copy_share * load, turn);
+        choice.full = true;
+        return run + turn + run * static_cast<double>(function.parked.size()) / room;
     }
     if (function.loading != &invoker) return run + load;
     return run + std::max(0.1 * load, load - in_seconds(now_ - function.loading_since));
@@ -501,6 +521,7 @@
             give_up(job);
     }
     if (hop.loads && function.loading == &invoker) load_over(function);
+    else if (!function.parked.empty()) release(function);  // a lane is free
     return done();
 }
 
@@ -515,7 +536,8 @@
     if (ending == Ending::honoured || copies > 0) {
         Belief& belief = believe(function, invoker);
         belief.until = now + may_.keep_alive;
-        belief.peak = std::max(belief.peak, std::max(1, copies) * std::max(1, function.lanes));
+        belief.copies = std::max(1, copies);
+        belief.peak = belief.copies * std::max(1, function.lanes);
         belief.peaked = now;
         if (function.loading == &invoker && ending == Ending::honoured) {
             const double took = in_seconds(now - function.loading_since);
@@ -547,11 +569,10 @@
 
     Belief& belief = believe(function, invoker);
     belief.until = now_ + may_.keep_alive;
-    const int seen = std::max(hop.beside, company) + 1;
-    if (seen >= belief.peak || now_ - belief.peaked > may_.keep_alive) {
-        belief.peak = seen;
-        belief.peaked = now_;
-    }
+    if (note == Note::began_load && hop.expected_warm) ++belief.copies;
+    if (note != Note::began_load && company + 1 > belief.copies * std::max(1, function.lanes) &&
+        took < 0.5 * load_time(function))
+        ++belief.copies;  // others' jobs brought it
 
     double ratio = std::max(invoker.pace, invoker.press * hop.crowd);
     const double expected = function.run * ratio;
@@ -718,7 +739,7 @@
     for (Function* function : functions_)
         if (Belief* belief = belief_of(*function, invoker)) {
             belief->until = Time{};
-            belief->peak = 0;
+            belief->copies = 0;
         }
     invoker.held.reset();
 }
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -29,6 +29,7 @@
         double finish{};  // seconds from now
         double wait{};    // of these, caused by others' jobs
         bool warm{};
+        bool full{};       // warm, but for all lanes being taken
         Invoker* calm{};  // where a further copy would find room, if all candidates are crowded
     };
     struct Due {
@@ -43,6 +44,7 @@
     void park(Job& job);
     void release(Function& function);
     void start_hop(Job& job, const Choice& choice);
+    void expect_load(Function& function);
     void load_over(Function& function);
     Choice choose(Job& job);
     double estimate(const Function& function, const Invoker& invoker, const Belief* belief, Choice& choice) const;
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -134,9 +134,9 @@
     Invoker* invoker{};
     Time until{};   // it lapses then
     int out{};      // own hops of the function there
-    int peak{};     // most jobs of it seen there at once, lately
+    int copies{};   // thought to stand there
+    int peak{};     // most own hops there at once, lately
     Time peaked{};
-    bool ordered{};
 };
 
 struct Function {
@@ -153,6 +153,7 @@
     std::vector<Job*> parked;
     Invoker* loading{};  // where its one load attempt is out
     Time loading_since{};
+    bool load_ordered{};
     Time clock{};  // when the budget clock started
     bool ticking{};
     Time delay{}, resend{};
