--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -26,8 +26,8 @@
 
 // The pick.
 constexpr std::size_t homes = 2;
-constexpr double spread_stretch = 2.0;  // of its idle run time, before more homes are looked at
-constexpr double calm_stretch = 1.2;    // and what a further home may make of it
+constexpr double spread_wait = 0.2;  // of the promised time: behind others, before more homes are looked at
+constexpr double spread_calm = 0.05;  // and what a further home may make it wait
 constexpr double second_home_bias = 1.15;  // a cold second home must be this much better than the first
 constexpr double tie = 0.002;              // seconds
 constexpr double assumed_run = 0.15, assumed_load = 1.0;  // seconds, until something is learned
@@ -37,9 +37,8 @@
 constexpr Time report_fresh = 1500ms;
 constexpr double odd_run = 4.0;  // a run this many times the expected teaches no more than that
 
-// Shedding: the part of the time left that the mean finish may take (runs vary, so a mean near the promised time
-// is late half the time), where an invoker takes so many times longer than when idle.
-constexpr double shed_finish = 0.6, shed_finish_over_share = 0.35, shed_stretch = 1.5;
+// Shedding: part of the promised time that waiting behind other jobs may take.
+constexpr double shed_wait = 0.5, shed_wait_over_share = 0.25, shed_finish = 0.6;
 constexpr double over_share = 1.2;
 constexpr double level_span = 3.0;  // seconds, over which arrivals are counted, of a tenant and of a function
 constexpr double favourite = 4.0;   // such a count makes a further copy pay
@@ -103,8 +102,8 @@
     // Exception "shed": where it would answer too late only for the jobs ahead of it, it would make those
     // behind it late as well. Guards against overload, a tenant over its share and retry storms; it could harm
     // where run times are overestimated. Where a calm invoker is left, it brings a copy there instead.
-    const double patience = (job.over_share ? shed_finish_over_share : shed_finish) * left;
-    if (best.stretch > shed_stretch && best.finish > patience && may_bounce(job)) {
+    const double patience = (job.over_share ? shed_wait_over_share : shed_wait) * in_seconds(job.use_case->promised);
+    if (best.wait > patience && best.finish > shed_finish * left && may_bounce(job)) {
         const double ready = load_time(function) - in_seconds(now_ - function.loading_since);
         if (function.loading && ready + function.run > left) return give_up(job);
         if (!function.loading && (!best.calm || function.level < favourite)) return give_up(job);
@@ -370,13 +369,13 @@
     }
     // Exception "spread": where all of these are crowded, the next calm one in the shared order serves as a home
     // too, for favourites that two invokers can't carry. It costs loads, so it acts only on much waiting.
-    if (best.invoker && best.stretch > spread_stretch) {
+    if (best.invoker && best.wait > spread_wait * in_seconds(job.use_case->promised)) {
         Invoker* calm = nullptr;
         for (std::size_t i = 0; i < order.size() && !calm; ++i) {
             Choice there;
             estimate(function, *order[i].invoker, nullptr, there);
             const bool fits = may_hop(job, *order[i].invoker) && may_send_to(*order[i].invoker);
-            if (fits && order[i].invoker->no_room_until <= now_ && there.stretch < calm_stretch) calm = order[i].invoker;
+            if (fits && order[i].invoker->no_room_until <= now_ && there.wait < spread_calm * in_seconds(job.use_case->promised)) calm = order[i].invoker;
         }
         if (calm) consider(*calm, second_home_bias);
         best.calm = calm;
@@ -398,7 +397,7 @@
     }
     const double run = function.run * press;
     const double load = load_time(function);
-    choice.stretch = press / invoker.pace;
+    choice.wait = run - function.run * invoker.pace;
     choice.warm = believed(belief);
     const int lanes = std::max(1, function.lanes);
     const int held = belief ? belief->out : 0;
@@ -521,8 +520,9 @@
         else
             give_up(job);
     }
-    if (hop.loads && function.loading == &invoker) load_over(function);
-    else if (!function.parked.empty()) release(function);  // a lane is free
+    if (hop.loads && function.loading == &invoker) function.loading = nullptr;
+    // The load is over or a lane is free. What was turned away waits for the next resend.
+    if (!never_ran(ending)) release(function);
     return done();
 }
 
@@ -691,8 +691,8 @@
 void Controller::turned_away(Invoker& invoker) {
     invoker.shun_until = now_ + shun;
     if (invoker.no_room_until > now_) return;
-    invoker.no_room = now_ - invoker.no_room_until > most_no_room ? least_no_room
-                                                                   : std::min(2 * invoker.no_room, most_no_room);
+    const bool in_a_row = now_ - invoker.no_room_until < most_no_room;
+    invoker.no_room = std::clamp(in_a_row ? 2 * invoker.no_room : Time{}, least_no_room, most_no_room);
     invoker.no_room_until = now_ + invoker.no_room;
 }
 
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -27,7 +27,7 @@
     struct Choice {
         Invoker* invoker{};
         double finish{};  // seconds from now
-        double stretch{};  // how much longer than when idle a run takes there
+        double wait{};    // of these, caused by others' jobs
         bool warm{};
         bool full{};       // warm, but for all lanes being taken
         Invoker* calm{};  // where a further copy would find room, if all candidates are crowded
