--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -424,7 +424,7 @@
 double Controller::crowd_at(const Invoker& invoker) const {
     const double own = static_cast<double>(invoker.out.size());
     if (invoker.held && now_ - invoker.held_at < report_fresh)
-        return std::max(own, *invoker.held + own - invoker.out_then);
+        return std::max(own, *invoker.held + (own - invoker.out_then) * std::max(1, may_.controllers));
     return own * std::max(1, may_.controllers);
 }
 
