--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -34,7 +34,7 @@
 constexpr double assumed_press = 0.2;
 constexpr double copy_share = 0.45;  // of a load: a further copy beside a standing one needs no fetch
 constexpr double join_share = 0.8;   // of a load's time, after which its jobs stop waiting for its answer
-constexpr Time report_fresh = 1500ms;
+constexpr Time report_fresh = 1500ms, report_age = 400ms;
 constexpr double odd_run = 4.0;  // a run this many times the expected teaches no more than that
 
 // Shedding: part of the promised time that waiting behind other jobs may take.
@@ -212,6 +212,7 @@
     const int lanes = std::max(1, function.lanes);
     belief.copies = std::max(1, std::min(belief.copies, (belief.peak + lanes - 1) / lanes));
     invoker.out.push_back(&hop);
+    moved(invoker, 1);
     if (invoker.cold_since) invoker.cold_hops.push_back(now_);
     results_.started.push_back(&hop);
     turn(job, JobState::hopping);
@@ -480,6 +481,7 @@
     hop.out = false;
     hop.ending = ending;
     std::erase(invoker.out, &hop);
+    moved(invoker, -1);
     if (Belief* belief = belief_of(function, invoker); belief && belief->out > 0) --belief->out;
     hear(invoker, report);
 
@@ -602,7 +604,15 @@
     // What waits there, for a lane or a load, presses on no core.
     invoker.held = std::max(0.0, *report.held - report.queued.value_or(0));
     invoker.held_at = now_;
+    // A report is old when it comes: what was sent and ended since it was measured is not in it.
     invoker.out_then = static_cast<int>(invoker.out.size());
+    for (const auto& [at, change] : invoker.moves)
+        if (at + report_age > now_) invoker.out_then -= change;
+}
+
+void Controller::moved(Invoker& invoker, int change) {
+    invoker.moves.emplace_back(now_, change);
+    while (invoker.moves.front().first + report_age <= now_) invoker.moves.pop_front();
 }
 
 void Controller::meet(Function& function) {
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -56,6 +56,7 @@
 
     void learn(const Hop& hop, Note note, int company);
     void hear(Invoker& invoker, const Report& report);
+    void moved(Invoker& invoker, int change);
     void mistrust(Invoker& invoker, bool certain);
     void answered_well(Invoker& invoker);
     void turned_away(Invoker& invoker);
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -185,7 +185,8 @@
     double pace{}, press{};  // learned: slowness when idle, and slowness for each job held
     std::optional<double> held;
     Time held_at{};
-    int out_then{};
+    int out_then{};  // own hops out when the report was measured
+    std::deque<std::pair<Time, int>> moves;  // lately sent and ended
     Time shun_until{}, no_room{}, no_room_until{};
 };
 
