--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -54,7 +54,7 @@
 constexpr Time blind_aside = 2s;   // where no probe may be sent
 constexpr double doubt_share = 0.34;
 
-constexpr double cold_margin = 0.7;  // of the budget for a cold invoker, for what can't be seen
+constexpr double cold_margin = 1.0;  // of the budget for a cold invoker, for what can't be seen
 constexpr Time forget_function = 60s;
 
 constexpr double in_seconds(Time t) { return static_cast<double>(t.count()) / 1e6; }
@@ -394,7 +394,7 @@
     double press = std::max(invoker.pace, invoker.press * (crowd_at(invoker) + 1));
     if (invoker.cold_since) {
         const double risen = std::min(1.0, in_seconds(now_ - *invoker.cold_since) / in_seconds(rules_.cold_for));
-        press /= rules_.cold_share + (1 - rules_.cold_share) * risen;
+        press /= std::sqrt(rules_.cold_share + (1 - rules_.cold_share) * risen);
     }
     const double run = function.run * press;
     const double load = load_time(function);
