--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -47,7 +47,7 @@
 constexpr Time sweep_period = 250ms;
 constexpr Time probe_gap = 600ms;
 constexpr Time quiet_gap = 400ms;
-constexpr int misses_aside = 2, answers_back = 2, eased = 8, first_ease = 2;
+constexpr int misses_aside = 2, cuts_doubted = 2, answers_back = 2, eased = 8, first_ease = 2;
 constexpr Time copies_gone = 3s;   // silent for longer than any stall: its copies are not counted on
 constexpr Time shun = 300ms;       // after it turned a job away
 constexpr Time least_no_room = 1s, most_no_room = 8s;
@@ -492,7 +492,10 @@
             turned_away(invoker);
             break;
         case Ending::unreachable: mistrust(invoker, true); break;
-        case Ending::cut_off: mistrust(invoker, false); break;
+        case Ending::cut_off:
+            // A dead process cuts off all that is out there, a bad line or a bad job just its own.
+            if (++invoker.cuts >= cuts_doubted) mistrust(invoker, false);
+            break;
         case Ending::errored:
         case Ending::not_loaded:
             if (Belief* belief = belief_of(function, invoker)) belief->until = Time{};
@@ -674,13 +677,13 @@
     invoker.probing = false;
     hear(invoker, report);
     if (answered) answered_well(invoker);
-    else mistrust(invoker, false);
+    else if (invoker.heard <= invoker.probed) mistrust(invoker, false);  // else it works: its probes are crowded out
     return done();
 }
 
 void Controller::answered_well(Invoker& invoker) {
     invoker.heard = now_;
-    invoker.missed = 0;
+    invoker.missed = invoker.cuts = 0;
     ++invoker.answered;
     switch (invoker.standing) {
         case Standing::trusted: break;
@@ -723,7 +726,7 @@
         invoker.aside_since = now_;
         if (certain) forget(invoker);
     }
-    rescue(invoker);
+    if (invoker.standing == Standing::aside) rescue(invoker);
 }
 
 // What is out at an invoker that does not answer goes elsewhere where the rules allow a second hop; where two
@@ -738,7 +741,7 @@
         if (may_.second_copies) {
             const Choice choice = choose(job);
             if (choice.invoker && choice.invoker != &invoker) start_hop(job, choice);
-        } else if (may_.call_off && invoker.standing == Standing::aside &&
+        } else if (may_.call_off &&
                    job.use_case->repeat == Repeat::replayable) {
             results_.called_off.push_back(hop);
         }
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -178,7 +178,7 @@
     std::optional<Time> cold_since, cold_from;
     std::deque<Time> cold_hops;
     Standing standing{};
-    int missed{}, answered{}, easy{};
+    int missed{}, cuts{}, answered{}, easy{};
     bool probing{};
     Time probed{}, heard{}, aside_since{};
     std::vector<Hop*> out;
