--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -35,6 +35,7 @@
 constexpr double copy_share = 0.45;  // of a load: a further copy beside a standing one needs no fetch
 constexpr double join_share = 0.8;   // of a load's time, after which its jobs stop waiting for its answer
 constexpr Time report_fresh = 1500ms, report_age = 400ms;
+constexpr double few_jobs = 3;  // at an invoker: its cores are not all taken
 constexpr double odd_run = 4.0;  // a run this many times the expected teaches no more than that
 
 // Shedding: part of the promised time that waiting behind other jobs may take.
@@ -591,15 +592,16 @@
     if (note != Note::stood_loaded && note != Note::none) return;
     if (invoker.cold_since) return;
     const double counted = std::min(took, odd_run * expected);
-    // Under a crowd the press is learned, else the run time and the pace: so none takes up the others' part.
-    const bool crowded = invoker.press * hop.crowd > invoker.pace;
-    function.run += (crowded ? 0.02 : 0.1) * (counted / ratio - function.run);
-    run_ += (crowded ? 0.004 : 0.02) * (counted / ratio - run_);
+    // With few jobs there the run time and the pace are learned, else the press, so that none takes up the others'
+    // part: a pace learned under a crowd hides the crowd, and nothing is shed (incident i977fe6).
+    const bool few = hop.crowd <= few_jobs;
+    function.run += (few ? 0.1 : 0.02) * (counted / ratio - function.run);
+    run_ += (few ? 0.02 : 0.004) * (counted / ratio - run_);
     const double relative = counted / function.run;
-    if (crowded)
-        invoker.press = std::clamp(invoker.press + 0.05 * (relative / hop.crowd - invoker.press), 0.02, 2.0);
-    else
+    if (few)
         invoker.pace = std::clamp(invoker.pace + 0.03 * (relative - invoker.pace), 0.3, 5.0);
+    else
+        invoker.press = std::clamp(invoker.press + 0.05 * (relative / hop.crowd - invoker.press), 0.01, 2.0);
 }
 
 void Controller::hear(Invoker& invoker, const Report& report) {
