--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -39,7 +39,7 @@
 constexpr double odd_run = 4.0;  // a run this many times the expected teaches no more than that
 
 // Shedding: part of the promised time that waiting behind other jobs may take.
-constexpr double shed_wait = 0.4, shed_wait_over_share = 0.2, shed_finish = 0.6;
+constexpr double shed_wait = 0.3, shed_wait_over_share = 0.15, shed_finish = 0.6;
 constexpr double over_share = 1.2;
 constexpr double level_span = 3.0;  // seconds, over which arrivals are counted, of a tenant and of a function
 constexpr double favourite = 4.0;   // such a count makes a further copy pay
