--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -57,6 +57,7 @@
 
 constexpr double cold_margin = 1.0;  // of the budget for a cold invoker, for what can't be seen
 constexpr Time forget_function = 60s;
+constexpr Time idle_spare = 2s;  // after which a copy beside others is spare
 
 constexpr double in_seconds(Time t) { return static_cast<double>(t.count()) / 1e6; }
 constexpr Time span_of(double seconds) { return Time(static_cast<Time::rep>(std::max(0.0, seconds) * 1e6)); }
@@ -349,15 +350,13 @@
 
     struct Home {
         Invoker* invoker{};
-        double rank{};
+        double place{};
     };
     std::vector<Home> order;
     for (Invoker* invoker : fleet_) {
         if (!usable(*invoker)) continue;
-        const double u = (static_cast<double>(mix(function.print ^ invoker->print) >> 11) + 0.5) * 0x1p-53;
-        const double units = may_.steady_units && invoker->units > 0 ? invoker->units : 1;
-        const Home home{invoker, -std::log(u) / units};
-        auto at = std::find_if(order.begin(), order.end(), [&](const Home& h) { return home.rank < h.rank; });
+        const Home home{invoker, rank(function, *invoker)};
+        auto at = std::find_if(order.begin(), order.end(), [&](const Home& h) { return home.place < h.place; });
         order.insert(at, home);
     }
     for (std::size_t i = 0; i < order.size() && i < homes; ++i)
@@ -789,6 +788,9 @@
     if (units > 0) rate_ += 0.1 * (honoured_lately_ / in_seconds(sweep_period) / units - rate_);
     honoured_lately_ = 0;
 
+    if (may_.order_copies && may_.memory_price > 0)
+        for (Function* function : functions_) unload_spare(*function);
+
     std::erase_if(functions_, [&](Function* function) {
         std::erase_if(function->beliefs, [&](const Belief& b) { return b.out == 0 && b.until <= now_; });
         const bool idle = function->jobs == 0 && function->beliefs.empty() && !function->loading &&
@@ -798,6 +800,28 @@
     });
 }
 
+// Where idle memory has a price: a function that stands at several invokers gives up those where it idles, but
+// for the first in the shared order, which other controllers keep to as well.
+void Controller::unload_spare(Function& function) {
+    Belief* kept = nullptr;
+    for (Belief& belief : function.beliefs)
+        if (believed(&belief) && (!kept || rank(function, *belief.invoker) < rank(function, *kept->invoker)))
+            kept = &belief;
+    for (Belief& belief : function.beliefs) {
+        if (!believed(&belief) || &belief == kept || belief.out > 0 || !may_send_to(*belief.invoker)) continue;
+        if (belief.until - may_.keep_alive + idle_spare > now_) continue;
+        results_.ordered.push_back({&function, belief.invoker, 0});
+        belief.until = Time{};
+        belief.copies = 0;
+    }
+}
+
+// Its place in the order that all controllers share; less is earlier.
+double Controller::rank(const Function& function, const Invoker& invoker) const {
+    const double u = (static_cast<double>(mix(function.print ^ invoker.print) >> 11) + 0.5) * 0x1p-53;
+    return -std::log(u) / (may_.steady_units && invoker.units > 0 ? invoker.units : 1);
+}
+
 // ---------------------------------------------------------------- time
 
 Results Controller::wake(Time now) {
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -63,6 +63,8 @@
     void rescue(Invoker& invoker);
     void forget(Invoker& invoker);
     void sweep();
+    void unload_spare(Function& function);
+    double rank(const Function& function, const Invoker& invoker) const;
     void set_due(Ticket& slot, Time at, Due what);
     void drop_due(Ticket& slot);
     void clock_due(Function& function);
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -8,7 +8,7 @@
 //   load FUNCTION INVOKER ENDING [copies=N]       an order's answer
 //   leave JOB                                     the client gives up
 //   to MS                                         time passes, with all wakings due until then
-//   expect hop JOB INVOKER | off JOB | probe INVOKER | order FUNCTION INVOKER     since the last 'clear'
+//   expect hop JOB INVOKER | off JOB | probe INVOKER | order|unload FUNCTION INVOKER  since the last 'clear'
 //   deny ...                                      the same, and it must not have happened
 //   state JOB STATE                               as it stands now
 //   hops JOB N                                    how many it has had
@@ -109,7 +109,8 @@
                                                         {"push_multiple", &rules.push_multiple},
                                                         {"free_loads", &rules.free_loads},
                                                         {"loads_per_job", &rules.loads_per_job},
-                                                        {"share_per_s", &tenant.share_per_s}};
+                                                        {"share_per_s", &tenant.share_per_s},
+                                                        {"memory_price", &may.memory_price}};
         const std::map<std::string, bool*> flags = {{"call_off", &may.call_off},
                                                     {"probe", &may.probe},
                                                     {"second_copies", &may.second_copies},
@@ -140,7 +141,7 @@
         for (const Hop* hop : r.started) happened.push_back({"hop", name_of(hop->job), hop->invoker->name});
         for (const Invoker* invoker : r.probed) happened.push_back({"probe", invoker->name});
         for (const CopyOrder& order : r.ordered)
-            happened.push_back({"order", order.function->name, order.invoker->name});
+            happened.push_back({order.copies ? "order" : "unload", order.function->name, order.invoker->name});
         next = r.next_wake;
     }
 
@@ -202,7 +203,7 @@
     }
 
     bool seen(const std::vector<std::string>& wanted) {
-        if (!std::set<std::string>{"hop", "off", "probe", "order"}.count(wanted.at(1)))
+        if (!std::set<std::string>{"hop", "off", "probe", "order", "unload"}.count(wanted.at(1)))
             fail("unknown word '" + wanted[1] + "'");
         for (const auto& was : happened)
             if (matches(was, wanted)) return true;
