--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -26,7 +26,7 @@
 
 // The pick.
 constexpr std::size_t homes = 2;
-constexpr double spread_wait = 0.2;  // of the promised time: behind others, before more homes are looked at
+constexpr double spread_wait = 0.2;   // of the promised time: behind others, before more homes are looked at
 constexpr double spread_calm = 0.05;  // and what a further home may make it wait
 constexpr double second_home_bias = 1.15;  // a cold second home must be this much better than the first
 constexpr double tie = 0.002;              // seconds
@@ -35,7 +35,7 @@
 constexpr double copy_share = 0.45;  // of a load: a further copy beside a standing one needs no fetch
 constexpr double join_share = 0.8;   // of a load's time, after which its jobs stop waiting for its answer
 constexpr Time report_fresh = 1500ms, report_age = 400ms;
-constexpr double few_jobs = 3;  // at an invoker: its cores are not all taken
+constexpr double few_jobs = 3;   // at an invoker: its cores are not all taken
 constexpr double odd_run = 4.0;  // a run this many times the expected teaches no more than that
 
 // Shedding: part of the promised time that waiting behind other jobs may take.
@@ -49,18 +49,23 @@
 constexpr Time probe_gap = 600ms;
 constexpr Time quiet_gap = 400ms;
 constexpr int misses_aside = 2, cuts_doubted = 2, answers_back = 2, eased = 8, first_ease = 2;
-constexpr Time copies_gone = 3s;   // silent for longer than any stall: its copies are not counted on
-constexpr Time shun = 300ms;       // after it turned a job away
+constexpr Time copies_gone = 3s;  // silent for longer than any stall: its copies are not counted on
+constexpr Time shun = 300ms;      // after it turned a job away
 constexpr Time least_no_room = 1s, most_no_room = 8s;
+constexpr Time own_stall = 100ms;  // a sweep later than that: the controller itself stood still
 constexpr Time blind_aside = 2s;   // where no probe may be sent
 constexpr double doubt_share = 0.34;
 
 constexpr double cold_margin = 1.0;  // of the budget for a cold invoker, for what can't be seen
 constexpr Time forget_function = 60s;
-constexpr Time idle_spare = 2s;  // after which a copy beside others is spare
+constexpr Time idle_spare = 700ms;  // for each controller: the others, unseen here, use the copy too
 
-constexpr double in_seconds(Time t) { return static_cast<double>(t.count()) / 1e6; }
-constexpr Time span_of(double seconds) { return Time(static_cast<Time::rep>(std::max(0.0, seconds) * 1e6)); }
+constexpr double in_seconds(Time t) {
+    return static_cast<double>(t.count()) / 1e6;
+}
+constexpr Time span_of(double seconds) {
+    return Time(static_cast<Time::rep>(std::max(0.0, seconds) * 1e6));
+}
 
 std::uint64_t mix(std::uint64_t x) {
     x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -102,9 +107,10 @@
     if (!best.invoker) return park(job);
 
     // Exception "shed": where it would answer too late only for the jobs ahead of it, it would make those
-    // behind it late as well. Guards against overload, a tenant over its share and retry storms; it could harm
-    // where run times are overestimated. Where a calm invoker is left, it brings a copy there instead.
-    const double patience = (job.over_share ? shed_wait_over_share : shed_wait) * in_seconds(job.use_case->promised);
+    // behind it late as well. Guards against overload, a tenant over its share and retry storms; it could
+    // harm where run times are overestimated. Where a calm invoker is left, it brings a copy there instead.
+    const double patience =
+        (job.over_share ? shed_wait_over_share : shed_wait) * in_seconds(job.use_case->promised);
     if (best.wait > patience && best.finish > shed_finish * left && may_bounce(job)) {
         const double ready = load_time(function) - in_seconds(now_ - function.loading_since);
         if (function.loading && ready + function.run > left) return give_up(job);
@@ -112,8 +118,9 @@
         if (!function.loading) best = Choice{best.calm};
     }
 
-    // Step 2: one load attempt a function. While it is out and no warm copy answers in time, jobs wait for it.
-    // Where a copy's lanes are all taken, more jobs there would only start more copies: they wait for a lane.
+    // Step 2: one load attempt a function. While it is out and no warm copy answers in time, jobs wait for
+    // it. Where a copy's lanes are all taken, more jobs there would only start more copies: they wait for a
+    // lane.
     const bool wait = best.full || (function.loading && (!best.warm || best.finish > left));
     if (wait && parked_ < park_limit) return park(job);
 
@@ -161,8 +168,9 @@
     }
 }
 
-// Where no order tells its end, a load counts as answered once its learned time has passed: its own answer comes
-// only behind the first job's run. (Exception "join"; harm: jobs wait at the invoker where the load is slow.)
+// Where no order tells its end, a load counts as answered once its learned time has passed: its own answer
+// comes only behind the first job's run. (Exception "join"; harm: jobs wait at the invoker where the load is
+// slow.)
 void Controller::expect_load(Function& function) {
     if (!function.loading || function.load_ordered) return;
     if (now_ - function.loading_since < span_of(join_share * load_time(function))) return;
@@ -231,7 +239,8 @@
         --parked_;
     }
     switch (to) {
-        case JobState::fresh: break;
+        case JobState::fresh:
+            break;
         case JobState::parked:
             if (from != JobState::parked) {
                 function.parked.push_back(&job);
@@ -240,10 +249,16 @@
             // Parked for as long as a run still fits before its expiry.
             set_due(job.due, job.expires - 2 * may_.tick - span_of(function.run * 0.7), {&job, nullptr});
             break;
-        case JobState::hopping: set_due(job.due, job.expires - 2 * may_.tick, {&job, nullptr}); break;
-        case JobState::streaming: drop_due(job.due); break;
+        case JobState::hopping:
+            set_due(job.due, job.expires - 2 * may_.tick, {&job, nullptr});
+            break;
+        case JobState::streaming:
+            drop_due(job.due);
+            break;
         case JobState::bounced:
-        case JobState::written_off: results_.answered.push_back(&job); [[fallthrough]];
+        case JobState::written_off:
+            results_.answered.push_back(&job);
+            [[fallthrough]];
         case JobState::honoured:
         case JobState::abandoned:
             drop_due(job.due);
@@ -286,8 +301,8 @@
 
 // Rules 3 and 4: may this invoker be sent anything new? A cold one has a budget in any window of the stated
 // length: the stated multiple of what it can do, which is taken to rise evenly from the cold share over the
-// whole stated time, of what warm invokers of its size are seen to do for this controller. What each controller
-// sees is its own part of the traffic, so all budgets together stay under the whole one.
+// whole stated time, of what warm invokers of its size are seen to do for this controller. What each
+// controller sees is its own part of the traffic, so all budgets together stay under the whole one.
 bool Controller::may_send_to(Invoker& invoker) {
     if (!invoker.listed || !invoker.ready) return false;
     if (!invoker.cold_since) return true;
@@ -301,8 +316,8 @@
         invoker.cold_hops.pop_front();
     const double risen = in_seconds(std::max(Time{}, age - rules_.push_span)) / in_seconds(rules_.cold_for);
     const double share = std::min(1.0, rules_.cold_share + (1 - rules_.cold_share) * risen);
-    const double budget = cold_margin * rules_.push_multiple * share * rate_ * invoker.units *
-                          in_seconds(rules_.push_span);
+    const double budget =
+        cold_margin * rules_.push_multiple * share * rate_ * invoker.units * in_seconds(rules_.push_span);
     return static_cast<double>(invoker.cold_hops.size()) + 1 <= std::max(1.0, budget);
 }
 
@@ -325,7 +340,7 @@
     Choice best;
     int ties = 0;
     auto consider = [&](Invoker& invoker, double bias) {
-        if (!may_hop(job, invoker) || !may_send_to(invoker)) return;
+        if (!may_hop(job, invoker)) return;
         Choice choice{&invoker};
         if (invoker.no_room_until > now_ && !believed(belief_of(function, invoker))) return;
         choice.finish = estimate(function, invoker, belief_of(function, invoker), choice);
@@ -340,8 +355,8 @@
             best.finish = worth;
         }
     };
-    auto usable = [&](const Invoker& invoker) {
-        if (!invoker.listed || !invoker.ready) return false;
+    auto usable = [&](Invoker& invoker) {
+        if (!may_send_to(invoker)) return false;
         if (doubting_) return true;
         if (invoker.shun_until > now_) return false;
         if (invoker.standing == Standing::easing) return static_cast<int>(invoker.out.size()) < invoker.easy;
@@ -356,7 +371,8 @@
     for (Invoker* invoker : fleet_) {
         if (!usable(*invoker)) continue;
         const Home home{invoker, rank(function, *invoker)};
-        auto at = std::find_if(order.begin(), order.end(), [&](const Home& h) { return home.place < h.place; });
+        auto at =
+            std::find_if(order.begin(), order.end(), [&](const Home& h) { return home.place < h.place; });
         order.insert(at, home);
     }
     for (std::size_t i = 0; i < order.size() && i < homes; ++i)
@@ -368,15 +384,17 @@
             continue;
         consider(*belief.invoker, 1);
     }
-    // Exception "spread": where all of these are crowded, the next calm one in the shared order serves as a home
-    // too, for favourites that two invokers can't carry. It costs loads, so it acts only on much waiting.
+    // Exception "spread": where all of these are crowded, the next calm one in the shared order serves as a
+    // home too, for favourites that two invokers can't carry. It costs loads, so it acts only on much
+    // waiting.
     if (best.invoker && best.wait > spread_wait * in_seconds(job.use_case->promised)) {
         Invoker* calm = nullptr;
         for (std::size_t i = 0; i < order.size() && !calm; ++i) {
             Choice there;
             estimate(function, *order[i].invoker, nullptr, there);
-            const bool fits = may_hop(job, *order[i].invoker) && may_send_to(*order[i].invoker);
-            if (fits && order[i].invoker->no_room_until <= now_ && there.wait < spread_calm * in_seconds(job.use_case->promised)) calm = order[i].invoker;
+            if (may_hop(job, *order[i].invoker) && order[i].invoker->no_room_until <= now_ &&
+                there.wait < spread_calm * in_seconds(job.use_case->promised))
+                calm = order[i].invoker;
         }
         if (calm) consider(*calm, second_home_bias);
         best.calm = calm;
@@ -393,7 +411,8 @@
                             Choice& choice) const {
     double press = std::max(invoker.pace, invoker.press * (crowd_at(invoker) + 1));
     if (invoker.cold_since) {
-        const double risen = std::min(1.0, in_seconds(now_ - *invoker.cold_since) / in_seconds(rules_.cold_for));
+        const double risen =
+            std::min(1.0, in_seconds(now_ - *invoker.cold_since) / in_seconds(rules_.cold_for));
         press /= std::sqrt(rules_.cold_share + (1 - rules_.cold_share) * risen);
     }
     const double run = function.run * press;
@@ -405,8 +424,8 @@
     if (choice.warm) {
         const int room = std::max(1, belief->copies) * lanes;
         if (held < room) return run;
-        // All lanes taken: behind the others, or on the further copy that the invoker starts by itself. The more
-        // copies there are, the more may be started at once.
+        // All lanes taken: behind the others, or on the further copy that the invoker starts by itself. The
+        // more copies there are, the more may be started at once.
         const double turn = run * (held - room + 1) / room;
         if (held < room + std::max(1, room / 2)) return run + std::min(copy_share * load, turn);
         choice.full = true;
@@ -429,7 +448,9 @@
     return own * std::max(1, may_.controllers);
 }
 
-bool Controller::believed(const Belief* belief) const { return belief && belief->until > now_; }
+bool Controller::believed(const Belief* belief) const {
+    return belief && belief->until > now_;
+}
 
 Belief* Controller::belief_of(Function& function, const Invoker& invoker) const {
     for (Belief& belief : function.beliefs)
@@ -447,7 +468,7 @@
 // ---------------------------------------------------------------- what happens to a job
 
 Results Controller::take(Time now, Job& job) {
-    now_ = now;
+    enter(now);
     Function& function = *job.function;
     meet(function);
     job.taken = now;
@@ -468,13 +489,14 @@
 }
 
 Results Controller::hop_accepted(Time now, Hop& hop) {
-    now_ = now;
+    enter(now);
     if (!hop.job->answered() && hop.job->state != JobState::streaming) turn(*hop.job, JobState::streaming);
     return done();
 }
 
-Results Controller::hop_ended(Time now, Hop& hop, Ending ending, Note note, int company, const Report& report) {
-    now_ = now;
+Results Controller::hop_ended(Time now, Hop& hop, Ending ending, Note note, int company,
+                              const Report& report) {
+    enter(now);
     Job& job = *hop.job;
     Function& function = *job.function;
     Invoker& invoker = *hop.invoker;
@@ -486,12 +508,16 @@
     hear(invoker, report);
 
     switch (ending) {
-        case Ending::honoured: learn(hop, note, company); break;
+        case Ending::honoured:
+            learn(hop, note, company);
+            break;
         case Ending::turned_away:
             answered_well(invoker);
             turned_away(invoker);
             break;
-        case Ending::unreachable: mistrust(invoker, true); break;
+        case Ending::unreachable:
+            mistrust(invoker, true);
+            break;
         case Ending::cut_off:
             // A dead process cuts off all that is out there, a bad line or a bad job just its own.
             if (++invoker.cuts >= cuts_doubted) mistrust(invoker, false);
@@ -507,7 +533,8 @@
                 in_seconds(now - hop.sent) > load_time(function))
                 believe(function, invoker).until = now + may_.keep_alive / 2;
             break;
-        case Ending::never_sent: break;
+        case Ending::never_sent:
+            break;
     }
 
     if (!job.answered()) {
@@ -532,13 +559,13 @@
 }
 
 Results Controller::client_left(Time now, Job& job) {
-    now_ = now;
+    enter(now);
     if (!job.answered()) turn(job, JobState::abandoned);
     return done();
 }
 
 Results Controller::load_answered(Time now, Function& function, Invoker& invoker, Ending ending, int copies) {
-    now_ = now;
+    enter(now);
     if (ending == Ending::honoured || copies > 0) {
         Belief& belief = believe(function, invoker);
         belief.until = now + may_.keep_alive;
@@ -556,8 +583,10 @@
     if (ending == Ending::turned_away) turned_away(invoker);
     if (function.loading == &invoker) {
         // Step 3: what could not be loaded is tried again with the next resend, not at once.
-        if (ending == Ending::honoured || copies > 0) load_over(function);
-        else function.loading = nullptr;
+        if (ending == Ending::honoured || copies > 0)
+            load_over(function);
+        else
+            function.loading = nullptr;
     }
     return done();
 }
@@ -580,7 +609,8 @@
         took < 0.5 * load_time(function))
         ++belief.copies;  // others' jobs brought it
 
-    double ratio = std::max(invoker.pace, invoker.press * hop.crowd);
+    if (hop.sent < back_at_) return;
+    const double ratio = std::max(invoker.pace, invoker.press * hop.crowd);
     const double expected = function.run * ratio;
     if (note == Note::began_load && !hop.expected_warm) {
         const double load = std::max(0.02, took - expected);
@@ -591,8 +621,8 @@
     if (note != Note::stood_loaded && note != Note::none) return;
     if (invoker.cold_since) return;
     const double counted = std::min(took, odd_run * expected);
-    // With few jobs there the run time and the pace are learned, else the press, so that none takes up the others'
-    // part: a pace learned under a crowd hides the crowd, and nothing is shed (incident i977fe6).
+    // With few jobs there the run time and the pace are learned, else the press, so that none takes up the
+    // others' part: a pace learned under a crowd hides the crowd, and nothing is shed (incident i977fe6).
     const bool few = hop.crowd <= few_jobs;
     function.run += (few ? 0.1 : 0.02) * (counted / ratio - function.run);
     run_ += (few ? 0.02 : 0.004) * (counted / ratio - run_);
@@ -639,7 +669,7 @@
 // ---------------------------------------------------------------- the fleet and its health
 
 Results Controller::fleet_changed(Time now, const std::vector<Invoker*>& changed, bool complete) {
-    now_ = now;
+    enter(now);
     if (complete)
         for (Invoker* invoker : fleet_)
             if (std::find(changed.begin(), changed.end(), invoker) == changed.end()) {
@@ -668,17 +698,19 @@
 }
 
 Results Controller::list_broke(Time now) {
-    now_ = now;
+    enter(now);
     results_.follow_list = may_.ask_for_list;
     return done();
 }
 
 Results Controller::probe_answered(Time now, Invoker& invoker, bool answered, const Report& report) {
-    now_ = now;
+    enter(now);
     invoker.probing = false;
     hear(invoker, report);
-    if (answered) answered_well(invoker);
-    else if (invoker.heard <= invoker.probed) mistrust(invoker, false);  // else it works: its probes are crowded out
+    if (answered)
+        answered_well(invoker);
+    else if (invoker.heard <= invoker.probed && invoker.probed >= back_at_)
+        mistrust(invoker, false);  // else it works: its probes are crowded out
     return done();
 }
 
@@ -687,8 +719,11 @@
     invoker.missed = invoker.cuts = 0;
     ++invoker.answered;
     switch (invoker.standing) {
-        case Standing::trusted: break;
-        case Standing::suspect: invoker.standing = Standing::trusted; break;
+        case Standing::trusted:
+            break;
+        case Standing::suspect:
+            invoker.standing = Standing::trusted;
+            break;
         case Standing::aside:
             if (invoker.answered < answers_back) break;
             invoker.standing = Standing::easing;
@@ -739,13 +774,11 @@
     for (Hop* hop : std::vector<Hop*>(invoker.out)) {
         Job& job = *hop->job;
         if (job.state != JobState::hopping || hop != &job.hops.back()) continue;
-        if (may_.second_copies) {
-            const Choice choice = choose(job);
-            if (choice.invoker && choice.invoker != &invoker) start_hop(job, choice);
-        } else if (may_.call_off &&
-                   job.use_case->repeat == Repeat::replayable) {
+        const Choice choice = choose(job);
+        if (choice.invoker && choice.invoker != &invoker)
+            start_hop(job, choice);
+        else if (!may_.second_copies && may_.call_off && job.use_case->repeat == Repeat::replayable)
             results_.called_off.push_back(hop);
-        }
     }
 }
 
@@ -800,16 +833,17 @@
     });
 }
 
-// Where idle memory has a price: a function that stands at several invokers gives up those where it idles, but
-// for the first in the shared order, which other controllers keep to as well.
+// Where idle memory has a price: a function that stands at several invokers gives up those where it idles,
+// but for the first in the shared order, which other controllers keep to as well.
 void Controller::unload_spare(Function& function) {
     Belief* kept = nullptr;
     for (Belief& belief : function.beliefs)
         if (believed(&belief) && (!kept || rank(function, *belief.invoker) < rank(function, *kept->invoker)))
             kept = &belief;
     for (Belief& belief : function.beliefs) {
-        if (!believed(&belief) || &belief == kept || belief.out > 0 || !may_send_to(*belief.invoker)) continue;
-        if (belief.until - may_.keep_alive + idle_spare > now_) continue;
+        if (!believed(&belief) || &belief == kept || belief.out > 0 || !may_send_to(*belief.invoker))
+            continue;
+        if (belief.until - may_.keep_alive + idle_spare * std::max(1, may_.controllers) > now_) continue;
         results_.ordered.push_back({&function, belief.invoker, 0});
         belief.until = Time{};
         belief.copies = 0;
@@ -824,8 +858,15 @@
 
 // ---------------------------------------------------------------- time
 
-Results Controller::wake(Time now) {
+// Called first with whatever happens. A sweep long overdue shows that this controller itself stood still:
+// what was out meanwhile looks slow and says nothing of the invokers (incident i544b59).
+void Controller::enter(Time now) {
     now_ = now;
+    if (sweep_at_ != Time{} && now > sweep_at_ + own_stall) back_at_ = now;
+}
+
+Results Controller::wake(Time now) {
+    enter(now);
     while (!due_.empty() && due_.begin()->first.first <= now) {
         const Due due = due_.begin()->second;
         if (due.job) {
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -29,7 +29,7 @@
         double finish{};  // seconds from now
         double wait{};    // of these, caused by others' jobs
         bool warm{};
-        bool full{};       // warm, but for all lanes being taken
+        bool full{};      // warm, but for all lanes being taken
         Invoker* calm{};  // where a further copy would find room, if all candidates are crowded
     };
     struct Due {
@@ -37,6 +37,7 @@
         Function* function{};
     };
 
+    void enter(Time now);
     Results done();
     void place(Job& job);
     void turn(Job& job, JobState to);
@@ -47,7 +48,8 @@
     void expect_load(Function& function);
     void load_over(Function& function);
     Choice choose(Job& job);
-    double estimate(const Function& function, const Invoker& invoker, const Belief* belief, Choice& choice) const;
+    double estimate(const Function& function, const Invoker& invoker, const Belief* belief,
+                    Choice& choice) const;
 
     bool may_hop(const Job& job, const Invoker& invoker) const;
     bool may_bounce(const Job& job) const;
@@ -86,7 +88,7 @@
     std::vector<Function*> functions_;
     std::map<Ticket, Due> due_;
     std::uint64_t tickets_{};
-    Time sweep_at_{};
+    Time sweep_at_{}, back_at_{};
     bool doubting_{};  // nearly all invokers look bad: the judgement is doubted, not the fleet
     std::size_t parked_{};
     double run_{}, load_{};  // learned over all functions, in seconds
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -14,7 +14,7 @@
 
 namespace plumkeel {
 
-using Time = std::chrono::microseconds;  // a span, or a moment as the span since the instance's start
+using Time = std::chrono::microseconds;         // a span, or a moment as the span since the instance's start
 using Ticket = std::pair<Time, std::uint64_t>;  // a place in the controller's ordered list of due times
 
 struct Function;
@@ -100,8 +100,8 @@
     bool out{};
     bool loads{};  // this hop is its function's load attempt
     bool expected_warm{};
-    int beside{};        // own jobs of the function there when it left
-    double crowd{};      // jobs thought to be there when it left
+    int beside{};    // own jobs of the function there when it left
+    double crowd{};  // jobs thought to be there when it left
     std::optional<Ending> ending;
 };
 
@@ -132,10 +132,10 @@
 
 struct Belief {  // what the controller takes a function's standing at one invoker to be
     Invoker* invoker{};
-    Time until{};   // it lapses then
-    int out{};      // own hops of the function there
-    int copies{};   // thought to stand there
-    int peak{};     // most own hops there at once, lately
+    Time until{};  // it lapses then
+    int out{};     // own hops of the function there
+    int copies{};  // thought to stand there
+    int peak{};    // most own hops there at once, lately
     Time peaked{};
 };
 
@@ -160,7 +160,7 @@
     Ticket due{};
     Time seen{};
     double level{};  // a fading count of arrivals
-    int jobs{};  // unclosed
+    int jobs{};      // unclosed
 };
 
 enum class Standing { trusted, suspect, aside, easing };
@@ -185,7 +185,7 @@
     double pace{}, press{};  // learned: slowness when idle, and slowness for each job held
     std::optional<double> held;
     Time held_at{};
-    int out_then{};  // own hops out when the report was measured
+    int out_then{};                          // own hops out when the report was measured
     std::deque<std::pair<Time, int>> moves;  // lately sent and ended
     Time shun_until{}, no_room{}, no_room_until{};
 };
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -21,8 +21,12 @@
     using std::runtime_error::runtime_error;
 };
 
-Time from_ms(double ms) { return Time(std::llround(ms * 1000.0)); }
-double to_ms(Time t) { return static_cast<double>(t.count()) / 1000.0; }
+Time from_ms(double ms) {
+    return Time(std::llround(ms * 1000.0));
+}
+double to_ms(Time t) {
+    return static_cast<double>(t.count()) / 1000.0;
+}
 
 // A field that may be absent or null.
 template <class T>
@@ -47,7 +51,9 @@
     return get<T>(object, key);
 }
 
-Time span(const json& object, const char* key) { return from_ms(get<double>(object, key)); }
+Time span(const json& object, const char* key) {
+    return from_ms(get<double>(object, key));
+}
 
 const json& part(const json& object, const char* key) {
     static const json nothing = json::object();
@@ -81,11 +87,16 @@
 
 Note note_of(std::int64_t remark) {
     switch (remark % 8) {
-        case 1: return Note::stood_loaded;
-        case 2: return Note::began_load;
-        case 3: return Note::joined_load;
-        case 4: return Note::load_broke;
-        default: return Note::none;
+        case 1:
+            return Note::stood_loaded;
+        case 2:
+            return Note::began_load;
+        case 3:
+            return Note::joined_load;
+        case 4:
+            return Note::load_broke;
+        default:
+            return Note::none;
     }
 }
 
@@ -159,7 +170,8 @@
             const auto remark = get<std::int64_t>(e, "remark");
             const int company = says_company_ ? static_cast<int>(remark / 8) : 0;
             const Ending ending = ending_of(need<std::string>(e, "state_code"));
-            carry_out(controller_->hop_ended(now, hop, ending, note_of(remark), company, report(e)), now, actions);
+            carry_out(controller_->hop_ended(now, hop, ending, note_of(remark), company, report(e)), now,
+                      actions);
             drop_if_closed(need<std::uint64_t>(e, "txn"));
         } else if (kind == "HANGUP") {
             const auto it = jobs_.find(need<std::uint64_t>(e, "txn"));
@@ -182,8 +194,8 @@
             const auto it = functions_.find(need<std::string>(e, "function"));
             if (!invoker || it == functions_.end()) return;
             const Ending ending = ending_of(need<std::string>(e, "state_code"));
-            carry_out(controller_->load_answered(now, *it->second, *invoker, ending, get<int>(e, "count")), now,
-                      actions);
+            carry_out(controller_->load_answered(now, *it->second, *invoker, ending, get<int>(e, "count")),
+                      now, actions);
         }
     }
 
@@ -191,7 +203,8 @@
     static std::uint64_t seed_of(const json& hello) {
         const auto it = hello.find("init_seed");
         if (it == hello.end() || !it->is_number()) return 0;
-        return it->is_number_integer() ? it->get<std::uint64_t>() : static_cast<std::uint64_t>(it->get<double>());
+        return it->is_number_integer() ? it->get<std::uint64_t>()
+                                       : static_cast<std::uint64_t>(it->get<double>());
     }
 
     void take(const json& e, Time now, json& actions) {
@@ -279,7 +292,8 @@
         for (const Job* job : results.answered) {
             json& a = act(job->state == JobState::bounced ? "NOT_NOW" : "ERROR");
             a["txn"] = job->id;
-            if (job->state == JobState::bounced && job->retry_after > Time{}) a["pause"] = to_ms(job->retry_after);
+            if (job->state == JobState::bounced && job->retry_after > Time{})
+                a["pause"] = to_ms(job->retry_after);
         }
         for (const Hop* hop : results.started) {
             json& a = act("CALL_OUT");
@@ -354,7 +368,8 @@
         }
         const json* bank = nullptr;
         if (kind == "DIRECTORY_UPDATE")
-            if (const auto found = banks_.find(get<int>(e, "bank")); found != banks_.end()) bank = &found->second;
+            if (const auto found = banks_.find(get<int>(e, "bank")); found != banks_.end())
+                bank = &found->second;
         it->second->event(kind, e, clock, bank, actions);
     }
 
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -8,6 +8,7 @@
 //   load FUNCTION INVOKER ENDING [copies=N]       an order's answer
 //   leave JOB                                     the client gives up
 //   to MS                                         time passes, with all wakings due until then
+//   stall MS                                      time passes, but the controller stands still
 //   expect hop JOB INVOKER | off JOB | probe INVOKER | order|unload FUNCTION INVOKER  since the last 'clear'
 //   deny ...                                      the same, and it must not have happened
 //   state JOB STATE                               as it stands now
@@ -15,7 +16,8 @@
 //   clear                                         forget what happened
 //   sent INVOKER at most|at least N               hops to it since the last 'clear'
 //
-// @x stands for an invoker: bound by the first 'expect' that meets it, the same one afterwards; !@x: any other.
+// @x stands for an invoker: bound by the first 'expect' that meets it, the same one afterwards; !@x: any
+// other.
 #include <cassert>
 #include <fstream>
 #include <iostream>
@@ -38,7 +40,9 @@
     std::exit(1);
 }
 
-Time ms(double value) { return Time(static_cast<Time::rep>(value * 1000)); }
+Time ms(double value) {
+    return Time(static_cast<Time::rep>(value * 1000));
+}
 
 double number(const std::string& text) {
     try {
@@ -51,17 +55,23 @@
 }
 
 const std::map<std::string, Ending> endings = {
-    {"honoured", Ending::honoured},       {"errored", Ending::errored},       {"turned_away", Ending::turned_away},
-    {"unreachable", Ending::unreachable}, {"never_sent", Ending::never_sent}, {"not_loaded", Ending::not_loaded},
-    {"overdue", Ending::overdue},         {"cut_off", Ending::cut_off},       {"called_off", Ending::called_off}};
+    {"honoured", Ending::honoured},       {"errored", Ending::errored},
+    {"turned_away", Ending::turned_away}, {"unreachable", Ending::unreachable},
+    {"never_sent", Ending::never_sent},   {"not_loaded", Ending::not_loaded},
+    {"overdue", Ending::overdue},         {"cut_off", Ending::cut_off},
+    {"called_off", Ending::called_off}};
 const std::map<std::string, Note> notes = {{"loaded", Note::stood_loaded},
                                            {"began", Note::began_load},
                                            {"joined", Note::joined_load},
                                            {"broke", Note::load_broke}};
-const std::map<std::string, JobState> states = {
-    {"fresh", JobState::fresh},         {"hopping", JobState::hopping},   {"parked", JobState::parked},
-    {"streaming", JobState::streaming}, {"honoured", JobState::honoured}, {"bounced", JobState::bounced},
-    {"written_off", JobState::written_off}, {"abandoned", JobState::abandoned}};
+const std::map<std::string, JobState> states = {{"fresh", JobState::fresh},
+                                                {"hopping", JobState::hopping},
+                                                {"parked", JobState::parked},
+                                                {"streaming", JobState::streaming},
+                                                {"honoured", JobState::honoured},
+                                                {"bounced", JobState::bounced},
+                                                {"written_off", JobState::written_off},
+                                                {"abandoned", JobState::abandoned}};
 
 template <class T>
 T word(const std::map<std::string, T>& table, const std::string& text) {
@@ -102,33 +112,38 @@
 
     void set(const std::string& key, const std::string& value) {
         const std::map<std::string, Time*> times = {
-            {"keep_alive", &may.keep_alive}, {"cold_for", &rules.cold_for},     {"push_span", &rules.push_span},
-            {"load_span", &rules.load_span}, {"promised", &use.promised},       {"expiry", &use.expiry},
+            {"keep_alive", &may.keep_alive}, {"cold_for", &rules.cold_for},
+            {"push_span", &rules.push_span}, {"load_span", &rules.load_span},
+            {"promised", &use.promised},     {"expiry", &use.expiry},
             {"remembered", &use.remembered}, {"retry_after", &may.longest_retry_after}};
-        const std::map<std::string, double*> figures = {{"cold_share", &rules.cold_share},
-                                                        {"push_multiple", &rules.push_multiple},
-                                                        {"free_loads", &rules.free_loads},
-                                                        {"loads_per_job", &rules.loads_per_job},
-                                                        {"share_per_s", &tenant.share_per_s},
-                                                        {"memory_price", &may.memory_price}};
+        const std::map<std::string, double*> figures = {
+            {"cold_share", &rules.cold_share},    {"push_multiple", &rules.push_multiple},
+            {"free_loads", &rules.free_loads},    {"loads_per_job", &rules.loads_per_job},
+            {"share_per_s", &tenant.share_per_s}, {"memory_price", &may.memory_price}};
         const std::map<std::string, bool*> flags = {{"call_off", &may.call_off},
                                                     {"probe", &may.probe},
                                                     {"second_copies", &may.second_copies},
                                                     {"order_copies", &may.order_copies},
                                                     {"loads_on_demand", &may.loads_on_demand}};
         const std::map<std::string, int*> counts = {{"hops", &may.hops}, {"controllers", &may.controllers}};
-        if (times.count(key)) *times.at(key) = ms(number(value));
-        else if (figures.count(key)) *figures.at(key) = number(value);
-        else if (flags.count(key)) *flags.at(key) = value == "yes";
-        else if (counts.count(key)) *counts.at(key) = static_cast<int>(number(value));
+        if (times.count(key))
+            *times.at(key) = ms(number(value));
+        else if (figures.count(key))
+            *figures.at(key) = number(value);
+        else if (flags.count(key))
+            *flags.at(key) = value == "yes";
+        else if (counts.count(key))
+            *counts.at(key) = static_cast<int>(number(value));
         else if (key == "repeat")
             use.repeat = word<Repeat>({{"replayable", Repeat::replayable},
                                        {"referenced", Repeat::referenced},
-                                       {"single_use", Repeat::single_use}}, value);
+                                       {"single_use", Repeat::single_use}},
+                                      value);
         else if (key == "reach")
-            use.reach = word<Reach>({{"everywhere", Reach::everywhere}, {"zone", Reach::zone}, {"cell", Reach::cell}},
-                                    value);
-        else fail("unknown setting '" + key + "'");
+            use.reach = word<Reach>(
+                {{"everywhere", Reach::everywhere}, {"zone", Reach::zone}, {"cell", Reach::cell}}, value);
+        else
+            fail("unknown setting '" + key + "'");
     }
 
     Controller& it() {
@@ -141,7 +156,8 @@
         for (const Hop* hop : r.started) happened.push_back({"hop", name_of(hop->job), hop->invoker->name});
         for (const Invoker* invoker : r.probed) happened.push_back({"probe", invoker->name});
         for (const CopyOrder& order : r.ordered)
-            happened.push_back({order.copies ? "order" : "unload", order.function->name, order.invoker->name});
+            happened.push_back(
+                {order.copies ? "order" : "unload", order.function->name, order.invoker->name});
         next = r.next_wake;
     }
 
@@ -175,11 +191,16 @@
             entry->units = 1;
             entry->ready = true;
             while (std::getline(parts, part, '/')) {
-                if (part == "draining" || part == "gone") entry->ready = false;
-                else if (part.rfind("started=", 0) == 0) entry->started = ms(number(part.substr(8)));
-                else if (part.rfind("zone=", 0) == 0) entry->zone = part.substr(5);
-                else if (part.rfind("cell=", 0) == 0) entry->cell = static_cast<int>(number(part.substr(5)));
-                else fail("unknown word '" + part + "'");
+                if (part == "draining" || part == "gone")
+                    entry->ready = false;
+                else if (part.rfind("started=", 0) == 0)
+                    entry->started = ms(number(part.substr(8)));
+                else if (part.rfind("zone=", 0) == 0)
+                    entry->zone = part.substr(5);
+                else if (part.rfind("cell=", 0) == 0)
+                    entry->cell = static_cast<int>(number(part.substr(5)));
+                else
+                    fail("unknown word '" + part + "'");
             }
             changed.push_back(entry.get());
         }
@@ -260,6 +281,8 @@
                 if (next <= now) fail("the controller asks to be woken again and again");
             }
             now = until;
+        } else if (verb == "stall") {
+            now += ms(number(w.at(1)));
         } else if (verb == "expect") {
             if (!seen(w)) fail("it did not happen");
         } else if (verb == "deny") {
@@ -276,7 +299,8 @@
             int count = 0;
             for (const auto& was : happened) count += was[0] == "hop" && was[2] == invoker(w.at(1)).name;
             const double bound_by = number(w.at(4));
-            if (w.at(3) == "most" ? count > bound_by : count < bound_by) fail("it was " + std::to_string(count));
+            if (w.at(3) == "most" ? count > bound_by : count < bound_by)
+                fail("it was " + std::to_string(count));
         } else if (verb == "clear") {
             happened.clear();
         } else {
