--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -118,7 +118,7 @@
         if (!function.loading) best = Choice{best.calm};
     }
 
-    // Step 2: one load attempt a function. While it is out and no warm copy answers in time, jobs wait for
+    // Step 2: one load a function at a time. While it is out and no warm copy answers in time, jobs wait for
     // it. Where a copy's lanes are all taken, more jobs there would only start more copies: they wait for a
     // lane.
     const bool wait = best.full || (function.loading && (!best.warm || best.finish > left));
@@ -344,15 +344,15 @@
         Choice choice{&invoker};
         if (invoker.no_room_until > now_ && !believed(belief_of(function, invoker))) return;
         choice.finish = estimate(function, invoker, belief_of(function, invoker), choice);
-        const double worth = choice.finish + (choice.warm ? 0 : (bias - 1) * load_time(function));
-        const double best_worth = best.invoker ? best.finish : 0;
-        if (!best.invoker || worth < best_worth - tie) {
+        const double biased = choice.finish + (choice.warm ? 0 : (bias - 1) * load_time(function));
+        const double best_biased = best.invoker ? best.finish : 0;
+        if (!best.invoker || biased < best_biased - tie) {
             best = choice;
-            best.finish = worth;
+            best.finish = biased;
             ties = 1;
-        } else if (worth < best_worth + tie && chance() * ++ties < 1) {
+        } else if (biased < best_biased + tie && chance() * ++ties < 1) {
             best = choice;
-            best.finish = worth;
+            best.finish = biased;
         }
     };
     auto usable = [&](Invoker& invoker) {
@@ -745,7 +745,8 @@
     invoker.no_room_until = now_ + invoker.no_room;
 }
 
-// Silence, resets and refused connections, whatever is behind them: first doubted, then set aside.
+// Silence, resets and connections that do not come about, whatever is behind them: first doubted, then set
+// aside.
 void Controller::mistrust(Invoker& invoker, bool certain) {
     invoker.answered = 0;
     ++invoker.missed;
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -98,7 +98,7 @@
     Time sent{};
     Time limit{};
     bool out{};
-    bool loads{};  // this hop is its function's load attempt
+    bool loads{};  // this hop is its function's one load
     bool expected_warm{};
     int beside{};    // own jobs of the function there when it left
     double crowd{};  // jobs thought to be there when it left
@@ -151,7 +151,7 @@
     double load{};  // learned, in seconds
     std::vector<Belief> beliefs;
     std::vector<Job*> parked;
-    Invoker* loading{};  // where its one load attempt is out
+    Invoker* loading{};  // where its one load is out
     Time loading_since{};
     bool load_ordered{};
     Time clock{};  // when the budget clock started
