--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -26,9 +26,6 @@
 
 struct UseCase {
     Time promised{};
-    Time expiry{};
-    double credit{};
-    double late_credit{};
     Repeat repeat{};
     Reach reach{};
     Time remembered{};
@@ -42,7 +39,6 @@
 
 // What the deployment forbids.
 struct Rulebook {
-    Time answer_slack{};
     Time cold_for{};
     double cold_share{};
     double push_multiple{};
@@ -67,10 +63,7 @@
     Time longest_retry_after{};
     Time keep_alive{};
     Time tick{};
-    double over_share_credit{};
     double memory_price{};
-    double crossing_price{};
-    std::string zone;
 };
 
 enum class Ending {
@@ -88,7 +81,7 @@
 enum class Note { none, stood_loaded, began_load, joined_load, load_broke };
 
 struct Report {  // any figure may be missing
-    std::optional<double> held, queued, loads;
+    std::optional<double> held, queued;
 };
 
 struct Hop {
@@ -108,12 +101,11 @@
 enum class JobState { fresh, hopping, parked, streaming, honoured, bounced, written_off, abandoned };
 
 struct Job {
-    std::uint64_t id{};  // set at the door, down to `retry`
+    std::uint64_t id{};  // set at the door, down to `time_left`
     const UseCase* use_case{};
     Tenant* tenant{};
     Function* function{};
     Time time_left{};
-    bool retry{};
 
     JobState state{};
     Time taken{}, promised{}, expires{};
@@ -142,7 +134,6 @@
 struct Function {
     std::string name;  // set at the door, down to `told_load`
     int lanes{};
-    double memory{};
     std::optional<Time> told_load;
 
     bool known{};
@@ -169,7 +160,7 @@
     std::string name;  // set at the door, down to `cell`, and again with each change
     bool ready{};
     double units{};
-    std::string kind, zone;
+    std::string zone;
     int cell{};
     std::optional<Time> started;  // absent: long ago
 
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -107,10 +107,8 @@
         const json& rules = part(setup, "rules");
         const json& family = part(setup, "family_info");
         const json& limits = part(setup, "limits");
-        const json& charges = part(setup, "charges");
 
         Rulebook book;
-        book.answer_slack = span(rules, "grace_to_answer");
         book.cold_for = span(rules, "cold");
         book.cold_share = get<double>(rules, "cold_share");
         book.push_multiple = get<double>(rules, "fall_multiple");
@@ -130,21 +128,15 @@
         may.loads_on_demand = get<std::string>(family, "if_cold") != "miss";
         may.keep_alive = span(family, "linger_idle");
         may.memory_price = get<double>(family, "memory_price");
-        may.crossing_price = get<double>(charges, "cross_zone");
         may.ask_for_list = get<std::string>(setup, "discovery") == "subscribe";
         may.steady_units = get<std::string>(setup, "weight_source") != "live";
         may.controllers = get<int>(setup, "fleet_size");
         may.tick = span(setup, "quantum");
-        may.over_share_credit = get<double>(setup, "over_share_worth");
-        may.zone = get<std::string>(setup, "zone");
         says_company_ = get<bool>(family, "says_company");
 
         for (const json& entry : get<json>(setup, "classes", json::array())) {
             UseCase& use = use_cases_[need<std::string>(entry, "name")];
             use.promised = span(entry, "aim");
-            use.expiry = span(entry, "deadline");
-            use.credit = get<double>(entry, "worth");
-            use.late_credit = get<double>(entry, "late_value");
             use.repeat = repeat_of(get<std::string>(entry, "semantics"));
             use.reach = reach_of(get<std::string>(entry, "group"));
             use.remembered = span(entry, "repeat_window");
@@ -215,7 +207,6 @@
         if (!function) function = std::make_unique<Function>();
         function->name = name;
         function->lanes = get<int>(e, "per_copy", 1);
-        function->memory = get<double>(e, "resident_mb");
         if (has(e, "warm_ms")) function->told_load = span(e, "warm_ms");
         const auto id = need<std::uint64_t>(e, "txn");
         auto [it, fresh] = jobs_.try_emplace(id, std::make_unique<Job>());
@@ -225,7 +216,6 @@
         job.use_case = &use->second;
         job.function = function.get();
         job.time_left = from_ms(need<double>(e, "time_left"));
-        job.retry = get<bool>(e, "is_retry");
         if (const auto tenant = e.find("user_group"); tenant != e.end() && tenant->is_string())
             if (const auto found = tenants_.find(tenant->get<std::string>()); found != tenants_.end())
                 job.tenant = &found->second;
@@ -244,7 +234,6 @@
             invoker->name = name;
             invoker->ready = get<std::string>(entry, "readiness") == "Ready";
             invoker->units = get<double>(entry, "units", 1.0);
-            invoker->kind = get<std::string>(entry, "shape");
             invoker->zone = get<std::string>(entry, "locality");
             invoker->cell = get<int>(entry, "unit_group");
             invoker->started.reset();
@@ -273,7 +262,6 @@
             const double value = (*it)[i].get<double>();
             if (fields_[i] == "active") out.held = value;
             if (fields_[i] == "waiting") out.queued = value;
-            if (fields_[i] == "x1") out.loads = value;
         }
         return out;
     }
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -84,6 +84,7 @@
     Rulebook rules;
     Allowances may;
     UseCase use;
+    Time expiry{};
     Tenant tenant;
     std::unique_ptr<Controller> controller;
     std::map<std::string, std::unique_ptr<Invoker>> invokers;
@@ -106,7 +107,7 @@
         rules.push_multiple = 2;
         rules.push_span = ms(2000);
         use.promised = ms(1500);
-        use.expiry = ms(4000);
+        expiry = ms(4000);
         use.remembered = ms(5000);
     }
 
@@ -114,7 +115,7 @@
         const std::map<std::string, Time*> times = {
             {"keep_alive", &may.keep_alive}, {"cold_for", &rules.cold_for},
             {"push_span", &rules.push_span}, {"load_span", &rules.load_span},
-            {"promised", &use.promised},     {"expiry", &use.expiry},
+            {"promised", &use.promised},     {"expiry", &expiry},
             {"remembered", &use.remembered}, {"retry_after", &may.longest_retry_after}};
         const std::map<std::string, double*> figures = {
             {"cold_share", &rules.cold_share},    {"push_multiple", &rules.push_multiple},
@@ -252,7 +253,7 @@
             auto fresh = std::make_unique<Job>();
             fresh->use_case = &use;
             fresh->function = function.get();
-            fresh->time_left = option(w, "left").empty() ? use.expiry : ms(number(option(w, "left")));
+            fresh->time_left = option(w, "left").empty() ? expiry : ms(number(option(w, "left")));
             if (tenant.share_per_s > 0) fresh->tenant = &tenant;
             Job& taken = *(jobs[w.at(1)] = std::move(fresh));
             note(it().take(now, taken));
