--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -48,6 +48,8 @@
 constexpr Time sweep_period = 250ms;
 constexpr Time probe_gap = 600ms;
 constexpr Time quiet_gap = 400ms;
+constexpr double probes_a_job = 0.5;  // and no more, for reports: many controllers would fill the fleet with them
+constexpr double probes_saved = 20;
 constexpr int misses_aside = 2, cuts_doubted = 2, answers_back = 2, eased = 8, first_ease = 2;
 constexpr Time copies_gone = 3s;  // silent for longer than any stall: its copies are not counted on
 constexpr Time shun = 300ms;      // after it turned a job away
@@ -222,6 +224,7 @@
     const int lanes = std::max(1, function.lanes);
     belief.copies = std::max(1, std::min(belief.copies, (belief.peak + lanes - 1) / lanes));
     invoker.out.push_back(&hop);
+    invoker.used = now_;
     moved(invoker, 1);
     if (invoker.cold_since) invoker.cold_hops.push_back(now_);
     results_.started.push_back(&hop);
@@ -475,6 +478,7 @@
     job.expires = now + job.time_left;
     job.promised = std::min(now + job.use_case->promised, job.expires);
     ++function.jobs;
+    probes_left_ = std::min(probes_left_ + probes_a_job, probes_saved);
     function.level = function.level * std::exp(-in_seconds(now - function.seen) / level_span) + 1;
     function.seen = now;
     if (rules_.load_span > Time{}) taken_.push_back(now);
@@ -714,6 +718,12 @@
     return done();
 }
 
+void Controller::probe(Invoker& invoker) {
+    invoker.probing = true;
+    invoker.probed = now_;
+    results_.probed.push_back(&invoker);
+}
+
 void Controller::answered_well(Invoker& invoker) {
     invoker.heard = now_;
     invoker.missed = invoker.cuts = 0;
@@ -753,11 +763,7 @@
     const bool aside = certain || invoker.missed >= misses_aside;
     if (!aside && invoker.standing != Standing::aside) {
         invoker.standing = Standing::suspect;
-        if (may_.probe && !invoker.probing) {
-            invoker.probing = true;
-            invoker.probed = now_;
-            results_.probed.push_back(&invoker);
-        }
+        if (may_.probe && !invoker.probing) probe(invoker);
     } else if (invoker.standing != Standing::aside) {
         invoker.standing = Standing::aside;
         invoker.aside_since = now_;
@@ -797,6 +803,7 @@
 void Controller::sweep() {
     std::size_t ready = 0, good = 0;
     double units = 0;
+    std::vector<Invoker*> stale;
     for (Invoker* invoker : fleet_) {
         if (!invoker->listed || !invoker->ready) continue;
         ++ready;
@@ -810,13 +817,21 @@
                 invoker->easy = 1;
             }
         }
+        if (!may_.probe || invoker->probing) continue;
         const bool ill = standing == Standing::suspect || standing == Standing::aside;
-        const bool stale = now_ - invoker->heard > quiet_gap || now_ - invoker->held_at > probe_gap;
-        if (may_.probe && !invoker->probing && (ill || (stale && now_ - invoker->probed > probe_gap))) {
-            invoker->probing = true;
-            invoker->probed = now_;
-            results_.probed.push_back(invoker);
-        }
+        const bool quiet = now_ - invoker->heard > quiet_gap;
+        const bool rested = now_ - invoker->probed > probe_gap;
+        if (ill || (quiet && rested && !invoker->out.empty() && now_ - invoker->out.front()->sent > quiet_gap))
+            probe(*invoker);
+        else if (rested && (quiet || now_ - invoker->held_at > probe_gap))
+            stale.push_back(invoker);
+    }
+    // Reports only as far as the jobs taken pay for them, and first from those that were used last.
+    while (!stale.empty() && probes_left_ >= 1) {
+        const auto next = std::max_element(stale.begin(), stale.end(), [](const Invoker* a, const Invoker* b) { return a->used < b->used; });
+        probe(**next);
+        stale.erase(next);
+        --probes_left_;
     }
     doubting_ = static_cast<double>(good) < doubt_share * static_cast<double>(ready);
     if (units > 0) rate_ += 0.1 * (honoured_lately_ / in_seconds(sweep_period) / units - rate_);
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -59,6 +59,7 @@
     void learn(const Hop& hop, Note note, int company);
     void hear(Invoker& invoker, const Report& report);
     void moved(Invoker& invoker, int change);
+    void probe(Invoker& invoker);
     void mistrust(Invoker& invoker, bool certain);
     void answered_well(Invoker& invoker);
     void turned_away(Invoker& invoker);
@@ -94,6 +95,7 @@
     double run_{}, load_{};  // learned over all functions, in seconds
     double rate_{};          // honoured hops a second for each unit of trusted invokers
     int honoured_lately_{};
+    double probes_left_{};
     std::deque<Time> taken_, orders_;  // kept for the ration only
 };
 
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -171,7 +171,7 @@
     Standing standing{};
     int missed{}, cuts{}, answered{}, easy{};
     bool probing{};
-    Time probed{}, heard{}, aside_since{};
+    Time probed{}, heard{}, used{}, aside_since{};
     std::vector<Hop*> out;
     double pace{}, press{};  // learned: slowness when idle, and slowness for each job held
     std::optional<double> held;
