Others' crowd from fading reports and the mean, not own jobs times controllers

Own jobs times the number of controllers made one own job at an invoker look like a hundred: bounces.

--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -34,7 +34,8 @@
 constexpr double assumed_press = 0.2;
 constexpr double copy_share = 0.45;  // of a load: a further copy beside a standing one needs no fetch
 constexpr double join_share = 0.8;   // of a load's time, after which its jobs stop waiting for its answer
-constexpr Time report_fresh = 1500ms, report_age = 400ms;
+constexpr Time report_life = 1500ms, report_age = 400ms;
+constexpr int herd = 3;
 constexpr double few_jobs = 3;   // at an invoker: its cores are not all taken
 constexpr double odd_run = 4.0;  // a run this many times the expected teaches no more than that
 
@@ -90,6 +91,7 @@
 
 Controller::Controller(std::uint64_t seed, Rulebook rules, Allowances may)
     : rules_(rules), may_(std::move(may)), dice_(mix(seed + 0x9e3779b97f4a7c15ULL)) {
+    probes_left_ = probes_saved;
     run_ = assumed_run;
     load_ = assumed_load;
 }
@@ -443,12 +445,19 @@
     return function.told_load ? std::max(in_seconds(*function.told_load), 0.05) : load_;
 }
 
-// How many jobs the invoker is thought to hold, those of other controllers included.
+// How many jobs the invoker is thought to hold, those of other controllers included. Of theirs a report tells
+// less the older it is; what is left is the mean of an invoker of its size. In the short while since a report
+// a few of them are taken to have done as this one did.
 double Controller::crowd_at(const Invoker& invoker) const {
     const double own = static_cast<double>(invoker.out.size());
-    if (invoker.held && now_ - invoker.held_at < report_fresh)
-        return std::max(own, *invoker.held + (own - invoker.out_then) * std::max(1, may_.controllers));
-    return own * std::max(1, may_.controllers);
+    double others = crowd_ * invoker.units;
+    if (invoker.held) {
+        const double then = std::max(0.0, *invoker.held - invoker.out_then);
+        const double fresh = std::exp(-in_seconds(now_ - invoker.held_at) / in_seconds(report_life));
+        const double alike = std::min(may_.controllers - 1, herd);
+        others = fresh * (then + alike * (own - invoker.out_then)) + (1 - fresh) * others;
+    }
+    return own + std::max(0.0, others);
 }
 
 bool Controller::believed(const Belief* belief) const {
@@ -802,11 +811,13 @@
 // The periodic work of an instance.
 void Controller::sweep() {
     std::size_t ready = 0, good = 0;
-    double units = 0;
+    double units = 0, outs = 0, seen_units = 0;
     std::vector<Invoker*> stale;
     for (Invoker* invoker : fleet_) {
         if (!invoker->listed || !invoker->ready) continue;
         ++ready;
+        outs += static_cast<double>(invoker->out.size());
+        seen_units += invoker->units;
         const Standing standing = invoker->standing;
         if (standing == Standing::trusted || standing == Standing::easing) ++good;
         if (standing == Standing::trusted && !invoker->cold_since) units += invoker->units;
@@ -836,6 +847,7 @@
     doubting_ = static_cast<double>(good) < doubt_share * static_cast<double>(ready);
     if (units > 0) rate_ += 0.1 * (honoured_lately_ / in_seconds(sweep_period) / units - rate_);
     honoured_lately_ = 0;
+    if (seen_units > 0) crowd_ += 0.1 * (outs * (may_.controllers - 1) / seen_units - crowd_);
 
     if (may_.order_copies && may_.memory_price > 0)
         for (Function* function : functions_) unload_spare(*function);
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -94,8 +94,9 @@
     std::size_t parked_{};
     double run_{}, load_{};  // learned over all functions, in seconds
     double rate_{};          // honoured hops a second for each unit of trusted invokers
+    double crowd_{};         // others' jobs for each unit of an invoker, on the mean
     int honoured_lately_{};
-    double probes_left_{};
+    double probes_left_;
     std::deque<Time> taken_, orders_;  // kept for the ration only
 };
 
