As many homes as a function's part of the jobs asks; homes many share count as warm

Two homes can't carry a function that draws a fifth of all jobs of a large fleet, and a controller that sees it every few seconds can't know where it stands. Arrivals are counted over 60 jobs (3 to 15 s).

--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -26,6 +26,8 @@
 
 // The pick.
 constexpr std::size_t homes = 2;
+constexpr double home_room = 1.0;  // more of the fleet for a function than its part of the jobs
+constexpr double shared_jobs = 3, few_arrivals = 20;
 constexpr double spread_wait = 0.2;   // of the promised time: behind others, before more homes are looked at
 constexpr double spread_calm = 0.05;  // and what a further home may make it wait
 constexpr double second_home_bias = 1.15;  // a cold second home must be this much better than the first
@@ -42,7 +44,8 @@
 // Shedding: part of the promised time that waiting behind other jobs may take.
 constexpr double shed_wait = 0.3, shed_wait_over_share = 0.15, shed_finish = 0.6;
 constexpr double over_share = 1.2;
-constexpr double level_span = 3.0;  // seconds, over which arrivals are counted, of a tenant and of a function
+constexpr double level_jobs = 60;  // arrivals are counted over so many, but over these seconds at least and most
+constexpr double least_span = 3.0, most_span = 15.0;
 constexpr double favourite = 4.0;   // such a count makes a further copy pay
 
 // Health.
@@ -92,6 +95,7 @@
 Controller::Controller(std::uint64_t seed, Rulebook rules, Allowances may)
     : rules_(rules), may_(std::move(may)), dice_(mix(seed + 0x9e3779b97f4a7c15ULL)) {
     probes_left_ = probes_saved;
+    level_span_ = least_span;
     run_ = assumed_run;
     load_ = assumed_load;
 }
@@ -344,10 +348,11 @@
     Function& function = *job.function;
     Choice best;
     int ties = 0;
-    auto consider = [&](Invoker& invoker, double bias) {
+    auto consider = [&](Invoker& invoker, double bias, bool kept) {
         if (!may_hop(job, invoker)) return;
         Choice choice{&invoker};
         if (invoker.no_room_until > now_ && !believed(belief_of(function, invoker))) return;
+        choice.warm = kept && !invoker.cold_since;
         choice.finish = estimate(function, invoker, belief_of(function, invoker), choice);
         const double biased = choice.finish + (choice.warm ? 0 : (bias - 1) * load_time(function));
         const double best_biased = best.invoker ? best.finish : 0;
@@ -368,26 +373,22 @@
         return invoker.standing == Standing::trusted;
     };
 
-    struct Home {
-        Invoker* invoker{};
-        double place{};
-    };
-    std::vector<Home> order;
-    for (Invoker* invoker : fleet_) {
+    // As many homes as the function's part of all jobs asks of the fleet. Where all controllers together send
+    // a home some jobs in each keep-alive, it is taken to hold the function.
+    const double part = std::max(0.0, function.level - 1) / std::max(level_, few_arrivals);
+    const auto wanted = homes + static_cast<std::size_t>(part * home_room * static_cast<double>(fleet_.size()));
+    const double others = std::max(0.0, function.level - 1) / level_span_ * (may_.controllers - 1);
+    const bool kept = others * in_seconds(may_.keep_alive) > shared_jobs * static_cast<double>(wanted);
+    std::vector<Invoker*> order;
+    for (Invoker* invoker : shared_order(function)) {
         if (!usable(*invoker)) continue;
-        const Home home{invoker, rank(function, *invoker)};
-        auto at =
-            std::find_if(order.begin(), order.end(), [&](const Home& h) { return home.place < h.place; });
-        order.insert(at, home);
+        if (order.size() < wanted) consider(*invoker, order.empty() ? 1 : second_home_bias, kept);
+        order.push_back(invoker);
     }
-    for (std::size_t i = 0; i < order.size() && i < homes; ++i)
-        consider(*order[i].invoker, i ? second_home_bias : 1);
+    const auto known = order.begin() + static_cast<std::ptrdiff_t>(std::min(wanted, order.size()));
     for (const Belief& belief : function.beliefs) {
         if (belief.until <= now_ || !usable(*belief.invoker)) continue;
-        const auto known = std::min(order.begin() + homes, order.end());
-        if (std::any_of(order.begin(), known, [&](const Home& h) { return h.invoker == belief.invoker; }))
-            continue;
-        consider(*belief.invoker, 1);
+        if (std::find(order.begin(), known, belief.invoker) == known) consider(*belief.invoker, 1, false);
     }
     // Exception "spread": where all of these are crowded, the next calm one in the shared order serves as a
     // home too, for favourites that two invokers can't carry. It costs loads, so it acts only on much
@@ -396,21 +397,34 @@
         Invoker* calm = nullptr;
         for (std::size_t i = 0; i < order.size() && !calm; ++i) {
             Choice there;
-            estimate(function, *order[i].invoker, nullptr, there);
-            if (may_hop(job, *order[i].invoker) && order[i].invoker->no_room_until <= now_ &&
+            estimate(function, *order[i], nullptr, there);
+            if (may_hop(job, *order[i]) && order[i]->no_room_until <= now_ &&
                 there.wait < spread_calm * in_seconds(job.use_case->promised))
-                calm = order[i].invoker;
+                calm = order[i];
         }
-        if (calm) consider(*calm, second_home_bias);
+        if (calm) consider(*calm, second_home_bias, false);
         best.calm = calm;
     }
     if (best.invoker || doubting_) return best;
     // Nobody of the shared order may be sent to: any usable one is better than none.
     for (Invoker* invoker : fleet_)
-        if (usable(*invoker)) consider(*invoker, 1);
+        if (usable(*invoker)) consider(*invoker, 1, false);
     return best;
 }
 
+// The fleet in the order that all controllers share for this function.
+const std::vector<Invoker*>& Controller::shared_order(Function& function) {
+    if (function.order_of == list_) return function.order;
+    function.order_of = list_;
+    std::vector<std::pair<double, Invoker*>> places;
+    for (Invoker* invoker : fleet_)
+        if (invoker->listed) places.emplace_back(rank(function, *invoker), invoker);
+    std::sort(places.begin(), places.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+    function.order.clear();
+    for (const auto& [place, invoker] : places) function.order.push_back(invoker);
+    return function.order;
+}
+
 // Seconds until this invoker would answer a job of the function that is sent now.
 double Controller::estimate(const Function& function, const Invoker& invoker, const Belief* belief,
                             Choice& choice) const {
@@ -423,10 +437,12 @@
     const double run = function.run * press;
     const double load = load_time(function);
     choice.wait = run - function.run * invoker.pace;
-    choice.warm = believed(belief);
+    const bool seen = believed(belief);
+    choice.warm = choice.warm || seen;
     const int lanes = std::max(1, function.lanes);
     const int held = belief ? belief->out : 0;
-    if (choice.warm) {
+    if (choice.warm && !seen) return run;
+    if (seen) {
         const int room = std::max(1, belief->copies) * lanes;
         if (held < room) return run;
         // All lanes taken: behind the others, or on the further copy that the invoker starts by itself. The
@@ -488,14 +504,16 @@
     job.promised = std::min(now + job.use_case->promised, job.expires);
     ++function.jobs;
     probes_left_ = std::min(probes_left_ + probes_a_job, probes_saved);
-    function.level = function.level * std::exp(-in_seconds(now - function.seen) / level_span) + 1;
+    level_ = level_ * std::exp(-in_seconds(now - seen_) / level_span_) + 1;
+    seen_ = now;
+    function.level = function.level * std::exp(-in_seconds(now - function.seen) / level_span_) + 1;
     function.seen = now;
     if (rules_.load_span > Time{}) taken_.push_back(now);
     if (job.tenant && job.tenant->share_per_s > 0) {
         Tenant& tenant = *job.tenant;
-        tenant.level = tenant.level * std::exp(-in_seconds(now - tenant.seen) / level_span) + 1;
+        tenant.level = tenant.level * std::exp(-in_seconds(now - tenant.seen) / level_span_) + 1;
         tenant.seen = now;
-        job.over_share = tenant.level / level_span * may_.controllers > over_share * tenant.share_per_s;
+        job.over_share = tenant.level / level_span_ * may_.controllers > over_share * tenant.share_per_s;
     }
     place(job);
     return done();
@@ -706,6 +724,7 @@
             invoker->cold_since = invoker->started;
         }
     }
+    ++list_;
     for (Function* function : std::vector<Function*>(functions_)) release(*function);
     return done();
 }
@@ -847,6 +866,7 @@
     doubting_ = static_cast<double>(good) < doubt_share * static_cast<double>(ready);
     if (units > 0) rate_ += 0.1 * (honoured_lately_ / in_seconds(sweep_period) / units - rate_);
     honoured_lately_ = 0;
+    level_span_ = std::clamp(level_jobs * level_span_ / std::max(level_, 1.0), least_span, most_span);
     if (seen_units > 0) crowd_ += 0.1 * (outs * (may_.controllers - 1) / seen_units - crowd_);
 
     if (may_.order_copies && may_.memory_price > 0)
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -48,6 +48,7 @@
     void expect_load(Function& function);
     void load_over(Function& function);
     Choice choose(Job& job);
+    const std::vector<Invoker*>& shared_order(Function& function);
     double estimate(const Function& function, const Invoker& invoker, const Belief* belief,
                     Choice& choice) const;
 
@@ -96,7 +97,10 @@
     double rate_{};          // honoured hops a second for each unit of trusted invokers
     double crowd_{};         // others' jobs for each unit of an invoker, on the mean
     int honoured_lately_{};
-    double probes_left_;
+    double probes_left_{};
+    double level_{}, level_span_{};  // a fading count of arrivals, and over how many seconds
+    Time seen_{};
+    int list_{};  // how often the list has changed
     std::deque<Time> taken_, orders_;  // kept for the ration only
 };
 
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -151,6 +151,8 @@
     Ticket due{};
     Time seen{};
     double level{};  // a fading count of arrivals
+    std::vector<Invoker*> order;  // the fleet, as the controllers rank it for this function, of list `order_of`
+    int order_of{};
     int jobs{};      // unclosed
 };
 
