--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -26,7 +26,7 @@
 
 // The pick.
 constexpr std::size_t homes = 2;
-constexpr double home_room = 1.0;  // more of the fleet for a function than its part of the jobs
+constexpr double home_room = 1.4;  // more of the fleet for a function than its part of the jobs
 constexpr double shared_jobs = 3, few_arrivals = 20;
 constexpr double spread_wait = 0.2;   // of the promised time: behind others, before more homes are looked at
 constexpr double spread_calm = 0.05;  // and what a further home may make it wait
@@ -349,10 +349,10 @@
     Choice best;
     int ties = 0;
     auto consider = [&](Invoker& invoker, double bias, bool kept) {
-        if (!may_hop(job, invoker)) return;
         Choice choice{&invoker};
-        if (invoker.no_room_until > now_ && !believed(belief_of(function, invoker))) return;
         choice.warm = kept && !invoker.cold_since;
+        if (!may_hop(job, invoker)) return false;
+        if (invoker.no_room_until > now_ && !choice.warm && !believed(belief_of(function, invoker))) return false;
         choice.finish = estimate(function, invoker, belief_of(function, invoker), choice);
         const double biased = choice.finish + (choice.warm ? 0 : (bias - 1) * load_time(function));
         const double best_biased = best.invoker ? best.finish : 0;
@@ -364,6 +364,7 @@
             best = choice;
             best.finish = biased;
         }
+        return true;
     };
     auto usable = [&](Invoker& invoker) {
         if (!may_send_to(invoker)) return false;
@@ -376,16 +377,22 @@
     // As many homes as the function's part of all jobs asks of the fleet. Where all controllers together send
     // a home some jobs in each keep-alive, it is taken to hold the function.
     const double part = std::max(0.0, function.level - 1) / std::max(level_, few_arrivals);
-    const auto wanted = homes + static_cast<std::size_t>(part * home_room * static_cast<double>(fleet_.size()));
+    const double asked = part * home_room * static_cast<double>(fleet_.size());
+    const auto shared = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(asked)));
+    const auto wanted = std::max(homes, shared);
     const double others = std::max(0.0, function.level - 1) / level_span_ * (may_.controllers - 1);
-    const bool kept = others * in_seconds(may_.keep_alive) > shared_jobs * static_cast<double>(wanted);
+    const bool kept = others * in_seconds(may_.keep_alive) > shared_jobs * static_cast<double>(shared);
     std::vector<Invoker*> order;
+    std::size_t found = 0, looked = 0;
     for (Invoker* invoker : shared_order(function)) {
         if (!usable(*invoker)) continue;
-        if (order.size() < wanted) consider(*invoker, order.empty() ? 1 : second_home_bias, kept);
+        if (found < wanted) {
+            found += consider(*invoker, found ? second_home_bias : 1, kept && found < shared);
+            ++looked;
+        }
         order.push_back(invoker);
     }
-    const auto known = order.begin() + static_cast<std::ptrdiff_t>(std::min(wanted, order.size()));
+    const auto known = order.begin() + static_cast<std::ptrdiff_t>(looked);
     for (const Belief& belief : function.beliefs) {
         if (belief.until <= now_ || !usable(*belief.invoker)) continue;
         if (std::find(order.begin(), known, belief.invoker) == known) consider(*belief.invoker, 1, false);
@@ -405,10 +412,6 @@
         if (calm) consider(*calm, second_home_bias, false);
         best.calm = calm;
     }
-    if (best.invoker || doubting_) return best;
-    // Nobody of the shared order may be sent to: any usable one is better than none.
-    for (Invoker* invoker : fleet_)
-        if (usable(*invoker)) consider(*invoker, 1, false);
     return best;
 }
 
