--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -311,7 +311,8 @@
 // Rules 3 and 4: may this invoker be sent anything new? A cold one has a budget in any window of the stated
 // length: the stated multiple of what it can do, which is taken to rise evenly from the cold share over the
 // whole stated time, of what warm invokers of its size are seen to do for this controller. What each
-// controller sees is its own part of the traffic, so all budgets together stay under the whole one.
+// controller sees is its own part of the traffic, so all budgets together stay under the whole one. Of many
+// controllers each has less than one hop a window; a draw at each start decides who has one all the same.
 bool Controller::may_send_to(Invoker& invoker) {
     if (!invoker.listed || !invoker.ready) return false;
     if (!invoker.cold_since) return true;
@@ -327,7 +328,15 @@
     const double share = std::min(1.0, rules_.cold_share + (1 - rules_.cold_share) * risen);
     const double budget =
         cold_margin * rules_.push_multiple * share * rate_ * invoker.units * in_seconds(rules_.push_span);
-    return static_cast<double>(invoker.cold_hops.size()) + 1 <= std::max(1.0, budget);
+    return static_cast<double>(invoker.cold_hops.size()) + 1 <= budget + invoker.cold_draw;
+}
+
+void Controller::begin_cold(Invoker& invoker, Time since) {
+    if (!invoker.cold_since) {
+        invoker.cold_hops.clear();
+        invoker.cold_draw = chance();
+    }
+    invoker.cold_since = since;
 }
 
 // Rule 5: may copies be ordered now? Counts the order when it says yes.
@@ -723,8 +732,7 @@
         invoker->cold_from = invoker->started;
         invoker->listed = true;
         if (invoker->started && now - *invoker->started < rules_.cold_for) {
-            if (!invoker->cold_since || *invoker->cold_since != *invoker->started) invoker->cold_hops.clear();
-            invoker->cold_since = invoker->started;
+            begin_cold(*invoker, *invoker->started);
         }
     }
     ++list_;
@@ -766,6 +774,10 @@
             invoker.standing = Standing::trusted;
             break;
         case Standing::aside:
+            // Guards against pushing over what has started again before the list says so (incident i4386e0). It
+            // could harm where only the line was down: the invoker is used little until warm.
+            if (invoker.down) begin_cold(invoker, now_);
+            invoker.down = false;
             if (invoker.answered < answers_back) break;
             invoker.standing = Standing::easing;
             invoker.easy = first_ease;
@@ -798,7 +810,10 @@
     } else if (invoker.standing != Standing::aside) {
         invoker.standing = Standing::aside;
         invoker.aside_since = now_;
-        if (certain) forget(invoker);
+    }
+    if (certain && !invoker.down) {
+        invoker.down = true;
+        forget(invoker);
     }
     if (invoker.standing == Standing::aside) rescue(invoker);
 }
@@ -844,7 +859,10 @@
         if (standing == Standing::trusted || standing == Standing::easing) ++good;
         if (standing == Standing::trusted && !invoker->cold_since) units += invoker->units;
         if (standing == Standing::aside) {
-            if (now_ - invoker->aside_since > copies_gone) forget(*invoker);
+            if (now_ - invoker->aside_since > copies_gone && !invoker->down) {
+                invoker->down = true;
+                forget(*invoker);
+            }
             if (!may_.probe && now_ - invoker->aside_since > blind_aside) {
                 invoker->standing = Standing::easing;
                 invoker->easy = 1;
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -55,6 +55,7 @@
     bool may_hop(const Job& job, const Invoker& invoker) const;
     bool may_bounce(const Job& job) const;
     bool may_send_to(Invoker& invoker);
+    void begin_cold(Invoker& invoker, Time since);
     bool may_order();
 
     void learn(const Hop& hop, Note note, int company);
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -170,6 +170,8 @@
     std::uint64_t print{};
     std::optional<Time> cold_since, cold_from;
     std::deque<Time> cold_hops;
+    double cold_draw{};  // from 0 to 1, at each start: this controller's luck with a part of a hop
+    bool down{};         // it was seen to be gone: its next answer comes from a new start
     Standing standing{};
     int missed{}, cuts{}, answered{}, easy{};
     bool probing{};
