--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -440,7 +440,7 @@
 // Seconds until this invoker would answer a job of the function that is sent now.
 double Controller::estimate(const Function& function, const Invoker& invoker, const Belief* belief,
                             Choice& choice) const {
-    double press = std::max(invoker.pace, invoker.press * (crowd_at(invoker) + 1));
+    double press = std::max(pace_of(invoker), press_of(invoker) * (crowd_at(invoker) + 1));
     if (invoker.cold_since) {
         const double risen =
             std::min(1.0, in_seconds(now_ - *invoker.cold_since) / in_seconds(rules_.cold_for));
@@ -448,7 +448,7 @@
     }
     const double run = function.run * press;
     const double load = load_time(function);
-    choice.wait = run - function.run * invoker.pace;
+    choice.wait = run - function.run * pace_of(invoker);
     const bool seen = believed(belief);
     choice.warm = choice.warm || seen;
     const int lanes = std::max(1, function.lanes);
@@ -653,7 +653,7 @@
         ++belief.copies;  // others' jobs brought it
 
     if (hop.sent < back_at_) return;
-    const double ratio = std::max(invoker.pace, invoker.press * hop.crowd);
+    const double ratio = std::max(pace_of(invoker), press_of(invoker) * hop.crowd);
     const double expected = function.run * ratio;
     if (note == Note::began_load && !hop.expected_warm) {
         const double load = std::max(0.02, took - expected);
@@ -669,11 +669,13 @@
     const bool few = hop.crowd <= few_jobs;
     function.run += (few ? 0.1 : 0.02) * (counted / ratio - function.run);
     run_ += (few ? 0.02 : 0.004) * (counted / ratio - run_);
-    const double relative = counted / function.run;
-    if (few)
-        invoker.pace = std::clamp(invoker.pace + 0.03 * (relative - invoker.pace), 0.3, 5.0);
-    else
-        invoker.press = std::clamp(invoker.press + 0.05 * (relative / hop.crowd - invoker.press), 0.01, 2.0);
+    // A controller that is one of many sees too little of one invoker: most is learned of its kind.
+    const double off = counted / function.run / ratio - 1;
+    auto nudge = [off](double& figure, double by, double least, double most) {
+        figure = std::clamp(figure * (1 + by * off), least, most);
+    };
+    nudge(few ? invoker.kind->pace : invoker.kind->press, 0.02, few ? 0.3 : 0.01, few ? 5.0 : 2.0);
+    nudge(few ? invoker.pace : invoker.press, few ? 0.03 : 0.05, 0.2, 5.0);
 }
 
 void Controller::hear(Invoker& invoker, const Report& report) {
@@ -724,8 +726,9 @@
         if (!invoker->known) {
             invoker->known = true;
             invoker->print = print_of(invoker->name);
-            invoker->pace = 1;
-            invoker->press = assumed_press;
+            invoker->pace = invoker->press = 1;
+            const auto same = std::find_if(kinds_.begin(), kinds_.end(), [&](const Kind& k) { return k.name == invoker->kind_name; });
+            invoker->kind = same != kinds_.end() ? &*same : &kinds_.emplace_back(Kind{invoker->kind_name, 1, assumed_press});
             fleet_.push_back(invoker);
         }
         if (back) forget(*invoker);
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -79,6 +79,8 @@
     Belief* belief_of(Function& function, const Invoker& invoker) const;
     Belief& believe(Function& function, Invoker& invoker);
     double load_time(const Function& function) const;
+    double pace_of(const Invoker& invoker) const { return invoker.kind->pace * invoker.pace; }
+    double press_of(const Invoker& invoker) const { return invoker.kind->press * invoker.press; }
     double crowd_at(const Invoker& invoker) const;
     double chance();
 
@@ -89,6 +91,7 @@
     Results results_;
     std::vector<Invoker*> fleet_;
     std::vector<Function*> functions_;
+    std::deque<Kind> kinds_;
     std::map<Ticket, Due> due_;
     std::uint64_t tickets_{};
     Time sweep_at_{}, back_at_{};
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -156,13 +156,19 @@
     int jobs{};      // unclosed
 };
 
+// What is learned of all invokers of a kind; `pace` and `press` of one are relative to these.
+struct Kind {
+    std::string name;
+    double pace{}, press{};
+};
+
 enum class Standing { trusted, suspect, aside, easing };
 
 struct Invoker {
     std::string name;  // set at the door, down to `cell`, and again with each change
     bool ready{};
     double units{};
-    std::string zone;
+    std::string zone, kind_name;
     int cell{};
     std::optional<Time> started;  // absent: long ago
 
@@ -177,6 +183,7 @@
     bool probing{};
     Time probed{}, heard{}, used{}, aside_since{};
     std::vector<Hop*> out;
+    Kind* kind{};
     double pace{}, press{};  // learned: slowness when idle, and slowness for each job held
     std::optional<double> held;
     Time held_at{};
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -235,6 +235,7 @@
             invoker->ready = get<std::string>(entry, "readiness") == "Ready";
             invoker->units = get<double>(entry, "units", 1.0);
             invoker->zone = get<std::string>(entry, "locality");
+            invoker->kind_name = get<std::string>(entry, "shape");
             invoker->cell = get<int>(entry, "unit_group");
             invoker->started.reset();
             if (const Time started = span(entry, "start_time"); started != Time{})
