--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -670,7 +670,8 @@
     function.run += (few ? 0.1 : 0.02) * (counted / ratio - function.run);
     run_ += (few ? 0.02 : 0.004) * (counted / ratio - run_);
     // A controller that is one of many sees too little of one invoker: most is learned of its kind.
-    const double off = counted / function.run / ratio - 1;
+    const double relative = counted / function.run;
+    const double off = relative / (few ? pace_of(invoker) : press_of(invoker) * hop.crowd) - 1;
     auto nudge = [off](double& figure, double by, double least, double most) {
         figure = std::clamp(figure * (1 + by * off), least, most);
     };
