--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -118,7 +118,7 @@
     // behind it late as well. Guards against overload, a tenant over its share and retry storms; it could
     // harm where run times are overestimated. Where a calm invoker is left, it brings a copy there instead.
     const double patience =
-        (job.over_share ? shed_wait_over_share : shed_wait) * in_seconds(job.use_case->promised);
+        (job.over_share ? shed_wait_over_share : shed_wait) * in_seconds(job.promised - job.taken);
     if (best.wait > patience && best.finish > shed_finish * left && may_bounce(job)) {
         const double ready = load_time(function) - in_seconds(now_ - function.loading_since);
         if (function.loading && ready + function.run > left) return give_up(job);
