--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -42,7 +42,7 @@
 constexpr double odd_run = 4.0;  // a run this many times the expected teaches no more than that
 
 // Shedding: part of the promised time that waiting behind other jobs may take.
-constexpr double shed_wait = 0.3, shed_wait_over_share = 0.15, shed_finish = 0.6;
+constexpr double shed_wait = 0.3, shed_wait_over_share = 0.15, shed_wait_hasty = 0.05, shed_finish = 0.6;
 constexpr double over_share = 1.2;
 constexpr double level_jobs = 60;  // arrivals are counted over so many, but over these seconds at least and most
 constexpr double least_span = 3.0, most_span = 15.0;
@@ -117,8 +117,9 @@
     // Exception "shed": where it would answer too late only for the jobs ahead of it, it would make those
     // behind it late as well. Guards against overload, a tenant over its share and retry storms; it could
     // harm where run times are overestimated. Where a calm invoker is left, it brings a copy there instead.
-    const double patience =
-        (job.over_share ? shed_wait_over_share : shed_wait) * in_seconds(job.promised - job.taken);
+    const bool hasty = job.again && job.time_left < job.use_case->promised;
+    const double part = hasty ? shed_wait_hasty : job.over_share ? shed_wait_over_share : shed_wait;
+    const double patience = part * in_seconds(job.promised - job.taken);
     if (best.wait > patience && best.finish > shed_finish * left && may_bounce(job)) {
         const double ready = load_time(function) - in_seconds(now_ - function.loading_since);
         if (function.loading && ready + function.run > left) return give_up(job);
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -101,11 +101,12 @@
 enum class JobState { fresh, hopping, parked, streaming, honoured, bounced, written_off, abandoned };
 
 struct Job {
-    std::uint64_t id{};  // set at the door, down to `time_left`
+    std::uint64_t id{};  // set at the door, down to `again`
     const UseCase* use_case{};
     Tenant* tenant{};
     Function* function{};
     Time time_left{};
+    bool again{};  // its client says that it tried before
 
     JobState state{};
     Time taken{}, promised{}, expires{};
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -216,6 +216,7 @@
         job.use_case = &use->second;
         job.function = function.get();
         job.time_left = from_ms(need<double>(e, "time_left"));
+        job.again = get<bool>(e, "is_retry");
         if (const auto tenant = e.find("user_group"); tenant != e.end() && tenant->is_string())
             if (const auto found = tenants_.find(tenant->get<std::string>()); found != tenants_.end())
                 job.tenant = &found->second;
