--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -38,6 +38,7 @@
 constexpr double join_share = 0.8;   // of a load's time, after which its jobs stop waiting for its answer
 constexpr Time report_life = 1500ms, report_age = 400ms;
 constexpr int herd = 3;
+constexpr double kind_gain = 0.003;  // the least that one run teaches of a kind
 constexpr double few_jobs = 3;   // at an invoker: its cores are not all taken
 constexpr double odd_run = 4.0;  // a run this many times the expected teaches no more than that
 
@@ -676,7 +677,9 @@
     auto nudge = [off](double& figure, double by, double least, double most) {
         figure = std::clamp(figure * (1 + by * off), least, most);
     };
-    nudge(few ? invoker.kind->pace : invoker.kind->press, 0.02, few ? 0.3 : 0.01, few ? 5.0 : 2.0);
+    Kind& kind = *invoker.kind;
+    const double by = std::max(kind_gain, 1.0 / (few_arrivals + (few ? ++kind.paced : ++kind.pressed)));
+    nudge(few ? kind.pace : kind.press, by, few ? 0.3 : 0.01, few ? 5.0 : 2.0);
     nudge(few ? invoker.pace : invoker.press, few ? 0.03 : 0.05, 0.2, 5.0);
 }
 
@@ -730,7 +733,7 @@
             invoker->print = print_of(invoker->name);
             invoker->pace = invoker->press = 1;
             const auto same = std::find_if(kinds_.begin(), kinds_.end(), [&](const Kind& k) { return k.name == invoker->kind_name; });
-            invoker->kind = same != kinds_.end() ? &*same : &kinds_.emplace_back(Kind{invoker->kind_name, 1, assumed_press});
+            invoker->kind = same != kinds_.end() ? &*same : &kinds_.emplace_back(Kind{invoker->kind_name, 1, assumed_press, 0, 0});
             fleet_.push_back(invoker);
         }
         if (back) forget(*invoker);
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -161,6 +161,7 @@
 struct Kind {
     std::string name;
     double pace{}, press{};
+    int paced{}, pressed{};  // how many runs taught these
 };
 
 enum class Standing { trusted, suspect, aside, easing };
