--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -476,7 +476,7 @@
 }
 
 // How many jobs the invoker is thought to hold, those of other controllers included. Of theirs a report tells
-// less the older it is; what is left is the mean of an invoker of its size. In the short while since a report
+// less the older it is; what is left is what its reports used to tell, or the mean of its size. In the short while since a report
 // a few of them are taken to have done as this one did.
 double Controller::crowd_at(const Invoker& invoker) const {
     const double own = static_cast<double>(invoker.out.size());
@@ -485,7 +485,7 @@
         const double then = std::max(0.0, *invoker.held - invoker.out_then);
         const double fresh = std::exp(-in_seconds(now_ - invoker.held_at) / in_seconds(report_life));
         const double alike = std::min(may_.controllers - 1, herd);
-        others = fresh * (then + alike * (own - invoker.out_then)) + (1 - fresh) * others;
+        others = fresh * (then + alike * (own - invoker.out_then)) + (1 - fresh) * invoker.usual;
     }
     return own + std::max(0.0, others);
 }
@@ -686,12 +686,16 @@
 void Controller::hear(Invoker& invoker, const Report& report) {
     if (!report.held) return;
     // What waits there, for a lane or a load, presses on no core.
+    const bool first = !invoker.held;
     invoker.held = std::max(0.0, *report.held - report.queued.value_or(0));
     invoker.held_at = now_;
     // A report is old when it comes: what was sent and ended since it was measured is not in it.
     invoker.out_then = static_cast<int>(invoker.out.size());
     for (const auto& [at, change] : invoker.moves)
         if (at + report_age > now_) invoker.out_then -= change;
+    const double others = std::max(0.0, *invoker.held - invoker.out_then);
+    if (first) invoker.usual = crowd_ * invoker.units;
+    invoker.usual += 0.3 * (others - invoker.usual);
 }
 
 void Controller::moved(Invoker& invoker, int change) {
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -188,6 +188,7 @@
     Kind* kind{};
     double pace{}, press{};  // learned: slowness when idle, and slowness for each job held
     std::optional<double> held;
+    double usual{};  // others' jobs there, over its last reports
     Time held_at{};
     int out_then{};                          // own hops out when the report was measured
     std::deque<std::pair<Time, int>> moves;  // lately sent and ended
