--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -32,6 +32,7 @@
 constexpr double spread_calm = 0.05;  // and what a further home may make it wait
 constexpr double second_home_bias = 1.15;  // a cold second home must be this much better than the first
 constexpr double tie = 0.002;              // seconds
+constexpr double herd_tie = 0.2;           // of a run
 constexpr double assumed_run = 0.15, assumed_load = 1.0;  // seconds, until something is learned
 constexpr double assumed_press = 0.2;
 constexpr double copy_share = 0.45;  // of a load: a further copy beside a standing one needs no fetch
@@ -359,6 +360,8 @@
     Function& function = *job.function;
     Choice best;
     int ties = 0;
+    // The more controllers choose on the same reports, the wider a tie: else all take the same invoker.
+    const double near = std::max(tie, herd_tie * function.run * (1 - 1.0 / std::max(1, may_.controllers)));
     auto consider = [&](Invoker& invoker, double bias, bool kept) {
         Choice choice{&invoker};
         choice.warm = kept && !invoker.cold_since;
@@ -367,11 +370,11 @@
         choice.finish = estimate(function, invoker, belief_of(function, invoker), choice);
         const double biased = choice.finish + (choice.warm ? 0 : (bias - 1) * load_time(function));
         const double best_biased = best.invoker ? best.finish : 0;
-        if (!best.invoker || biased < best_biased - tie) {
+        if (!best.invoker || biased < best_biased - near) {
             best = choice;
             best.finish = biased;
             ties = 1;
-        } else if (biased < best_biased + tie && chance() * ++ties < 1) {
+        } else if (biased < best_biased + near && chance() * ++ties < 1) {
             best = choice;
             best.finish = biased;
         }
