--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -26,9 +26,9 @@
 
 // The pick.
 constexpr std::size_t homes = 2;
-constexpr double home_room = 1.4;  // more of the fleet for a function than its part of the jobs
+constexpr double home_room = 2.2;  // more of the fleet for a function than its part of the jobs
 constexpr double shared_jobs = 3, few_arrivals = 20;
-constexpr double spread_wait = 0.2;   // of the promised time: behind others, before more homes are looked at
+constexpr double spread_wait = 9;   // of the promised time: behind others, before more homes are looked at
 constexpr double spread_calm = 0.05;  // and what a further home may make it wait
 constexpr double second_home_bias = 1.15;  // a cold second home must be this much better than the first
 constexpr double tie = 0.002;              // seconds
