--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -28,8 +28,9 @@
 constexpr std::size_t homes = 2;
 constexpr double home_room = 2.2;  // more of the fleet for a function than its part of the jobs
 constexpr double shared_jobs = 3, few_arrivals = 20;
-constexpr double spread_wait = 9;   // of the promised time: behind others, before more homes are looked at
-constexpr double spread_calm = 0.05;  // and what a further home may make it wait
+constexpr double seed_wait = 0.2;   // of the promised time: behind others, before a further home is looked for
+constexpr double seed_calm = 0.05;  // and what that one may make it wait
+constexpr double seldom = 0.01;     // of the hops to a copy that had been pushed out: more is short memory
 constexpr double second_home_bias = 1.15;  // a cold second home must be this much better than the first
 constexpr double tie = 0.002;              // seconds
 constexpr double herd_tie = 0.2;           // of a run
@@ -411,20 +412,17 @@
         if (belief.until <= now_ || !usable(*belief.invoker)) continue;
         if (std::find(order.begin(), known, belief.invoker) == known) consider(*belief.invoker, 1, false);
     }
-    // Exception "spread": where all of these are crowded, the next calm one in the shared order serves as a
-    // home too, for favourites that two invokers can't carry. It costs loads, so it acts only on much
-    // waiting.
-    if (best.invoker && best.wait > spread_wait * in_seconds(job.use_case->promised)) {
-        Invoker* calm = nullptr;
-        for (std::size_t i = 0; i < order.size() && !calm; ++i) {
-            Choice there;
-            estimate(function, *order[i], nullptr, there);
-            if (may_hop(job, *order[i]) && order[i]->no_room_until <= now_ &&
-                there.wait < spread_calm * in_seconds(job.use_case->promised))
-                calm = order[i];
-        }
-        if (calm) consider(*calm, second_home_bias, false);
-        best.calm = calm;
+    // Exception "seed": where all of these are crowded, place() may bring a favourite's copy to the next calm
+    // invoker in the shared order instead of shedding. Not while copies are found pushed out before their
+    // time: then each load pushes out one in use, and the overload keeps itself going.
+    if (!best.invoker || pushed_out_ > seldom || best.wait < seed_wait * in_seconds(job.use_case->promised))
+        return best;
+    for (std::size_t i = 0; i < order.size() && !best.calm; ++i) {
+        Choice there;
+        estimate(function, *order[i], nullptr, there);
+        if (may_hop(job, *order[i]) && order[i]->no_room_until <= now_ &&
+            there.wait < seed_calm * in_seconds(job.use_case->promised))
+            best.calm = order[i];
     }
     return best;
 }
@@ -652,6 +650,8 @@
 
     Belief& belief = believe(function, invoker);
     belief.until = now_ + may_.keep_alive;
+    if (hop.expected_warm && hop.beside == 0)
+        pushed_out_ += 0.02 * ((note == Note::began_load ? 1 : 0) - pushed_out_);
     if (note == Note::began_load && hop.expected_warm) ++belief.copies;
     if (note != Note::began_load && company + 1 > belief.copies * std::max(1, function.lanes) &&
         took < 0.5 * load_time(function))
