--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -124,6 +124,7 @@
     const double part = hasty ? shed_wait_hasty : job.over_share ? shed_wait_over_share : shed_wait;
     const double patience = part * in_seconds(job.promised - job.taken);
     if (best.wait > patience && best.finish > shed_finish * left && may_bounce(job)) {
+        if (!hasty && job.state == JobState::fresh && parked_ < park_limit) return park(job);
         const double ready = load_time(function) - in_seconds(now_ - function.loading_since);
         if (function.loading && ready + function.run > left) return give_up(job);
         if (!function.loading && (!best.calm || function.level < favourite)) return give_up(job);
