--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -2,7 +2,7 @@
 //
 //   allow K=V ...  rules K=V ...  use K=V ...    the deployment, before anything else (see the tables below)
 //   list a b c/draining d/started=1000           the full list;  change ...: only these entries
-//   take JOB FUNCTION [left=MS] [tenant=N]        a job arrives
+//   take JOB FUNCTION [left=MS] [lanes=N] [again=yes]   a job arrives
 //   end JOB HOP ENDING [NOTE] [company=N]         a hop ends, by its number
 //   probe INVOKER ok|silent                       a probe's answer
 //   load FUNCTION INVOKER ENDING [copies=N]       an order's answer
@@ -15,6 +15,7 @@
 //   hops JOB N                                    how many it has had
 //   clear                                         forget what happened
 //   sent INVOKER at most|at least N               hops to it since the last 'clear'
+//   count hop|probe at most|at least N            how often that happened since the last 'clear'
 //
 // @x stands for an invoker: bound by the first 'expect' that meets it, the same one afterwards; !@x: any
 // other.
@@ -232,6 +233,11 @@
         return false;
     }
 
+    static void bound_by(int count, const std::vector<std::string>& w) {
+        const double bound = number(w.back());
+        if (w[w.size() - 2] == "most" ? count > bound : count < bound) fail("it was " + std::to_string(count));
+    }
+
     static std::string option(const std::vector<std::string>& words, const std::string& key) {
         for (const std::string& each : words)
             if (each.rfind(key + "=", 0) == 0) return each.substr(key.size() + 1);
@@ -253,6 +259,7 @@
             auto fresh = std::make_unique<Job>();
             fresh->use_case = &use;
             fresh->function = function.get();
+            fresh->again = option(w, "again") == "yes";
             fresh->time_left = option(w, "left").empty() ? expiry : ms(number(option(w, "left")));
             if (tenant.share_per_s > 0) fresh->tenant = &tenant;
             Job& taken = *(jobs[w.at(1)] = std::move(fresh));
@@ -299,9 +306,11 @@
         } else if (verb == "sent") {
             int count = 0;
             for (const auto& was : happened) count += was[0] == "hop" && was[2] == invoker(w.at(1)).name;
-            const double bound_by = number(w.at(4));
-            if (w.at(3) == "most" ? count > bound_by : count < bound_by)
-                fail("it was " + std::to_string(count));
+            bound_by(count, w);
+        } else if (verb == "count") {
+            int count = 0;
+            for (const auto& was : happened) count += was[0] == w.at(1);
+            bound_by(count, w);
         } else if (verb == "clear") {
             happened.clear();
         } else {
