Past homes that have no room look at one more invoker only, else wait parked

On quito's big-2 in the small every function was tried at every invoker once memory was short; jobs waiting for room filled the queues and 72% of the hops were turned away. Guards against short memory of any cause.

--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t park_limit = 1024;
 
 // The pick.
-constexpr std::size_t homes = 2;
+constexpr std::size_t homes = 2, further = 1;
 constexpr double home_room = 2.2;  // more of the fleet for a function than its part of the jobs
 constexpr double shared_jobs = 3, few_arrivals = 20;
 constexpr double seed_wait = 0.2;   // of the promised time: behind others, before a further home is looked for
@@ -367,7 +367,7 @@
     auto consider = [&](Invoker& invoker, double bias, bool kept) {
         Choice choice{&invoker};
         choice.warm = kept && !invoker.cold_since;
-        if (!may_hop(job, invoker)) return false;
+        if (!may_hop(job, invoker) || (invoker.shun_until > now_ && !doubting_)) return false;
         if (invoker.no_room_until > now_ && !choice.warm && !believed(belief_of(function, invoker))) return false;
         choice.finish = estimate(function, invoker, belief_of(function, invoker), choice);
         const double biased = choice.finish + (choice.warm ? 0 : (bias - 1) * load_time(function));
@@ -385,7 +385,6 @@
     auto usable = [&](Invoker& invoker) {
         if (!may_send_to(invoker)) return false;
         if (doubting_) return true;
-        if (invoker.shun_until > now_) return false;
         if (invoker.standing == Standing::easing) return static_cast<int>(invoker.out.size()) < invoker.easy;
         return invoker.standing == Standing::trusted;
     };
@@ -402,7 +401,9 @@
     std::size_t found = 0, looked = 0;
     for (Invoker* invoker : shared_order(function)) {
         if (!usable(*invoker)) continue;
-        if (found < wanted) {
+        // One that has no room now counts all the same: else, when memory is short, every function is tried at
+        // every invoker, and what waits there for room keeps out the rest (quito's big-2 in the small).
+        if (looked < wanted + further && found < wanted) {
             found += consider(*invoker, found ? second_home_bias : 1, kept && found < shared);
             ++looked;
         }
