Hops unanswered for longer than expected teach the invoker's slowness

Only honoured hops taught: what grows slow was known by the jobs that got through. It should also guard against lost answers; it could harm where clients leave early.

--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -576,6 +576,10 @@
             break;
         case Ending::overdue:
         case Ending::called_off:
+            // Not answered for longer than expected teaches at least that: else what grows slow, and what loses
+            // answers, is known only by the jobs that got through. Guards against invokers that age.
+            if (hop.expected_warm && in_seconds(now - hop.sent) > function.run * ratio_at(hop))
+                learn_ratio(hop, in_seconds(now - hop.sent));
             // A load that has begun goes on without the job that wanted it.
             if (hop.loads && invoker.standing == Standing::trusted &&
                 in_seconds(now - hop.sent) > load_time(function))
@@ -660,8 +664,7 @@
         ++belief.copies;  // others' jobs brought it
 
     if (hop.sent < back_at_) return;
-    const double ratio = std::max(pace_of(invoker), press_of(invoker) * hop.crowd);
-    const double expected = function.run * ratio;
+    const double expected = function.run * ratio_at(hop);
     if (note == Note::began_load && !hop.expected_warm) {
         const double load = std::max(0.02, took - expected);
         function.load = function.load > 0 ? 0.6 * function.load + 0.4 * load : load;
@@ -670,21 +673,33 @@
     }
     if (note != Note::stood_loaded && note != Note::none) return;
     if (invoker.cold_since) return;
-    const double counted = std::min(took, odd_run * expected);
-    // With few jobs there the run time and the pace are learned, else the press, so that none takes up the
-    // others' part: a pace learned under a crowd hides the crowd, and nothing is shed (incident i977fe6).
+    const double counted = std::min(took, odd_run * expected) / ratio_at(hop);
+    const double gain = hop.crowd <= few_jobs ? 0.1 : 0.02;
+    learn_ratio(hop, took);
+    function.run += gain * (counted - function.run);
+    run_ += gain / 5 * (counted - run_);
+}
+
+// How many times as long as alone on an average invoker the hop's run was expected to take.
+double Controller::ratio_at(const Hop& hop) const {
+    return std::max(pace_of(*hop.invoker), press_of(*hop.invoker) * hop.crowd);
+}
+
+// With few jobs there a run teaches the pace, else the press, so that neither takes up the other's part: a pace
+// learned under a crowd hides the crowd, and nothing is shed (incident i977fe6). A controller that is one of
+// many sees too little of one invoker: most is learned of its kind.
+void Controller::learn_ratio(const Hop& hop, double took) {
+    Invoker& invoker = *hop.invoker;
+    Kind& kind = *invoker.kind;
+    if (hop.sent < back_at_ || invoker.cold_since) return;
     const bool few = hop.crowd <= few_jobs;
-    function.run += (few ? 0.1 : 0.02) * (counted / ratio - function.run);
-    run_ += (few ? 0.02 : 0.004) * (counted / ratio - run_);
-    // A controller that is one of many sees too little of one invoker: most is learned of its kind.
-    const double relative = counted / function.run;
+    const double relative = std::min(took / hop.job->function->run, odd_run * ratio_at(hop));
     const double off = relative / (few ? pace_of(invoker) : press_of(invoker) * hop.crowd) - 1;
     auto nudge = [off](double& figure, double by, double least, double most) {
         figure = std::clamp(figure * (1 + by * off), least, most);
     };
-    Kind& kind = *invoker.kind;
     const double by = std::max(kind_gain, 1.0 / (few_arrivals + (few ? ++kind.paced : ++kind.pressed)));
-    nudge(few ? kind.pace : kind.press, by, few ? 0.3 : 0.01, few ? 5.0 : 2.0);
+    if (hop.ending == Ending::honoured) nudge(few ? kind.pace : kind.press, by, few ? 0.3 : 0.01, few ? 5.0 : 2.0);
     nudge(few ? invoker.pace : invoker.press, few ? 0.03 : 0.05, 0.2, 5.0);
 }
 
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -59,6 +59,8 @@
     bool may_order();
 
     void learn(const Hop& hop, Note note, int company);
+    double ratio_at(const Hop& hop) const;
+    void learn_ratio(const Hop& hop, double took);
     void hear(Invoker& invoker, const Report& report);
     void moved(Invoker& invoker, int change);
     void probe(Invoker& invoker);
