--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -520,7 +520,7 @@
     job.expires = now + job.time_left;
     job.promised = std::min(now + job.use_case->promised, job.expires);
     ++function.jobs;
-    probes_left_ = std::min(probes_left_ + probes_a_job, probes_saved);
+    if (!job.again) probes_left_ = std::min(probes_left_ + probes_a_job, probes_saved);
     level_ = level_ * std::exp(-in_seconds(now - seen_) / level_span_) + 1;
     seen_ = now;
     function.level = function.level * std::exp(-in_seconds(now - function.seen) / level_span_) + 1;
