--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -27,6 +27,7 @@
 // The pick.
 constexpr std::size_t homes = 2, further = 1;
 constexpr double home_room = 2.2;  // more of the fleet for a function than its part of the jobs
+constexpr double unseen = 0.5;  // arrivals that any function counts for at the start
 constexpr double shared_jobs = 3, few_arrivals = 20;
 constexpr double seed_wait = 0.2;   // of the promised time: behind others, before a further home is looked for
 constexpr double seed_calm = 0.05;  // and what that one may make it wait
@@ -391,11 +392,13 @@
 
     // As many homes as the function's part of all jobs asks of the fleet. Where all controllers together send
     // a home some jobs in each keep-alive, it is taken to hold the function.
-    const double part = std::max(0.0, function.level - 1) / std::max(level_, few_arrivals);
+    // A controller that has just started can't tell a favourite yet: all of them would try the first home.
+    const double seen = std::max(level_ < few_arrivals ? unseen : 0.0, function.level - 1);
+    const double part = seen / std::max(level_, few_arrivals);
     const double asked = part * home_room * static_cast<double>(fleet_.size());
     const auto shared = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(asked)));
     const auto wanted = std::max(homes, shared);
-    const double others = std::max(0.0, function.level - 1) / level_span_ * (may_.controllers - 1);
+    const double others = seen / level_span_ * (may_.controllers - 1);
     const bool kept = others * in_seconds(may_.keep_alive) > shared_jobs * static_cast<double>(shared);
     std::vector<Invoker*> order;
     std::size_t found = 0, looked = 0;
