--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -18,50 +18,44 @@
 using namespace std::chrono_literals;
 
 // The design's parking (steps 3 to 5).
-constexpr Time park_budget = 5s;
-constexpr Time first_delay = 100ms;
-constexpr double delay_growth = 1.1;
-constexpr double delay_jitter = 0.1;
+constexpr Time park_budget = 5s, first_delay = 100ms;
+constexpr double delay_growth = 1.1, delay_jitter = 0.1;
 constexpr std::size_t park_limit = 1024;
 
 // The pick.
 constexpr std::size_t homes = 2, further = 1;
 constexpr double home_room = 2.2;  // more of the fleet for a function than its part of the jobs
-constexpr double unseen = 0.5;  // arrivals that any function counts for at the start
+constexpr double unseen = 0.5;     // arrivals that any function counts for at the start
 constexpr double shared_jobs = 3, few_arrivals = 20;
-constexpr double seed_wait = 0.2;   // of the promised time: behind others, before a further home is looked for
+constexpr double seed_wait = 0.2;  // of the promised time: behind others, before a further home is looked for
 constexpr double seed_calm = 0.05;  // and what that one may make it wait
 constexpr double seldom = 0.01;     // of the hops to a copy that had been pushed out: more is short memory
 constexpr double second_home_bias = 1.15;  // a cold second home must be this much better than the first
 constexpr double tie = 0.002;              // seconds
 constexpr double herd_tie = 0.2;           // of a run
-constexpr double assumed_run = 0.15, assumed_load = 1.0;  // seconds, until something is learned
-constexpr double assumed_press = 0.2;
+constexpr double assumed_run = 0.15, assumed_load = 1.0, assumed_press = 0.2;  // until something is learned
 constexpr double copy_share = 0.45;  // of a load: a further copy beside a standing one needs no fetch
 constexpr double join_share = 0.8;   // of a load's time, after which its jobs stop waiting for its answer
 constexpr Time report_life = 1500ms, report_age = 400ms;
 constexpr int herd = 3;
 constexpr double kind_gain = 0.003;  // the least that one run teaches of a kind
-constexpr double few_jobs = 3;   // at an invoker: its cores are not all taken
-constexpr double odd_run = 4.0;  // a run this many times the expected teaches no more than that
+constexpr double few_jobs = 3;       // at an invoker: its cores are not all taken
+constexpr double odd_run = 4.0;      // a run this many times the expected teaches no more than that
 
 // Shedding: part of the promised time that waiting behind other jobs may take.
 constexpr double shed_wait = 0.3, shed_wait_over_share = 0.15, shed_wait_hasty = 0.05, shed_finish = 0.6;
 constexpr double over_share = 1.2;
-constexpr double level_jobs = 60;  // arrivals are counted over so many, but over these seconds at least and most
-constexpr double least_span = 3.0, most_span = 15.0;
-constexpr double favourite = 4.0;   // such a count makes a further copy pay
+constexpr double level_jobs = 60;                     // arrivals are counted over so many, but over these
+constexpr double least_span = 3.0, most_span = 15.0;  // seconds at least and most
+constexpr double favourite = 4.0;                     // such a count makes a further copy pay
 
 // Health.
-constexpr Time sweep_period = 250ms;
-constexpr Time probe_gap = 600ms;
-constexpr Time quiet_gap = 400ms;
-constexpr double probes_a_job = 0.5;  // and no more, for reports: many controllers would fill the fleet with them
-constexpr double probes_saved = 20;
+constexpr Time sweep_period = 250ms, probe_gap = 600ms, quiet_gap = 400ms;
+constexpr double probes_a_job = 0.5, probes_saved = 20;  // and no more, for reports
 constexpr int misses_aside = 2, cuts_doubted = 2, answers_back = 2, eased = 8, first_ease = 2;
-constexpr Time copies_gone = 3s;  // silent for longer than any stall: its copies are not counted on
-constexpr Time shun = 300ms;      // after it turned a job away
-constexpr Time least_no_room = 1s, most_no_room = 8s;
+constexpr Time copies_gone = 3s;   // silent for longer than any stall: its copies are not counted on
+constexpr Time shun = 300ms;       // after it turned a job away
+constexpr Time no_room = 2s;       // nor sent anything that needs a new copy
 constexpr Time own_stall = 100ms;  // a sweep later than that: the controller itself stood still
 constexpr Time blind_aside = 2s;   // where no probe may be sent
 constexpr double doubt_share = 0.34;
@@ -369,18 +363,15 @@
         Choice choice{&invoker};
         choice.warm = kept && !invoker.cold_since;
         if (!may_hop(job, invoker) || (invoker.shun_until > now_ && !doubting_)) return false;
-        if (invoker.no_room_until > now_ && !choice.warm && !believed(belief_of(function, invoker))) return false;
+        if (invoker.no_room_until > now_ && !choice.warm && !believed(belief_of(function, invoker)))
+            return false;
         choice.finish = estimate(function, invoker, belief_of(function, invoker), choice);
-        const double biased = choice.finish + (choice.warm ? 0 : (bias - 1) * load_time(function));
-        const double best_biased = best.invoker ? best.finish : 0;
-        if (!best.invoker || biased < best_biased - near) {
-            best = choice;
-            best.finish = biased;
+        if (!choice.warm) choice.finish += (bias - 1) * load_time(function);
+        if (!best.invoker || choice.finish < best.finish - near)
             ties = 1;
-        } else if (biased < best_biased + near && chance() * ++ties < 1) {
-            best = choice;
-            best.finish = biased;
-        }
+        else if (choice.finish >= best.finish + near || chance() * ++ties >= 1)
+            return true;
+        best = choice;
         return true;
     };
     auto usable = [&](Invoker& invoker) {
@@ -390,9 +381,9 @@
         return invoker.standing == Standing::trusted;
     };
 
-    // As many homes as the function's part of all jobs asks of the fleet. Where all controllers together send
-    // a home some jobs in each keep-alive, it is taken to hold the function.
-    // A controller that has just started can't tell a favourite yet: all of them would try the first home.
+    // Exception "homes": as many as the function's part of all jobs asks of the fleet. Where all controllers
+    // together send a home some jobs in each keep-alive, it is taken to hold the function. A controller that
+    // has just started can't tell a favourite yet: all of them would try the first home.
     const double seen = std::max(level_ < few_arrivals ? unseen : 0.0, function.level - 1);
     const double part = seen / std::max(level_, few_arrivals);
     const double asked = part * home_room * static_cast<double>(fleet_.size());
@@ -404,8 +395,8 @@
     std::size_t found = 0, looked = 0;
     for (Invoker* invoker : shared_order(function)) {
         if (!usable(*invoker)) continue;
-        // One that has no room now counts all the same: else, when memory is short, every function is tried at
-        // every invoker, and what waits there for room keeps out the rest (quito's big-2 in the small).
+        // One that has no room now counts all the same: else, when memory is short, every function is tried
+        // at every invoker, and what waits there for room keeps out the rest (quito's big-2 in the small).
         if (looked < wanted + further && found < wanted) {
             found += consider(*invoker, found ? second_home_bias : 1, kept && found < shared);
             ++looked;
@@ -482,8 +473,8 @@
 }
 
 // How many jobs the invoker is thought to hold, those of other controllers included. Of theirs a report tells
-// less the older it is; what is left is what its reports used to tell, or the mean of its size. In the short while since a report
-// a few of them are taken to have done as this one did.
+// less the older it is; what is left is what its reports used to tell, or the mean of its size. In the short
+// while since a report a few of them are taken to have done as this one did.
 double Controller::crowd_at(const Invoker& invoker) const {
     const double own = static_cast<double>(invoker.out.size());
     double others = crowd_ * invoker.units;
@@ -579,8 +570,8 @@
             break;
         case Ending::overdue:
         case Ending::called_off:
-            // Not answered for longer than expected teaches at least that: else what grows slow, and what loses
-            // answers, is known only by the jobs that got through. Guards against invokers that age.
+            // Not answered for longer than expected teaches at least that: else what grows slow, and what
+            // loses answers, is known only by the jobs that got through. Guards against invokers that age.
             if (hop.expected_warm && in_seconds(now - hop.sent) > function.run * ratio_at(hop))
                 learn_ratio(hop, in_seconds(now - hop.sent));
             // A load that has begun goes on without the job that wanted it.
@@ -688,9 +679,9 @@
     return std::max(pace_of(*hop.invoker), press_of(*hop.invoker) * hop.crowd);
 }
 
-// With few jobs there a run teaches the pace, else the press, so that neither takes up the other's part: a pace
-// learned under a crowd hides the crowd, and nothing is shed (incident i977fe6). A controller that is one of
-// many sees too little of one invoker: most is learned of its kind.
+// With few jobs there a run teaches the pace, else the press, so that neither takes up the other's part: a
+// pace learned under a crowd hides the crowd, and nothing is shed (incident i977fe6). A controller that is
+// one of many sees too little of one invoker: most is learned of its kind.
 void Controller::learn_ratio(const Hop& hop, double took) {
     Invoker& invoker = *hop.invoker;
     Kind& kind = *invoker.kind;
@@ -702,7 +693,8 @@
         figure = std::clamp(figure * (1 + by * off), least, most);
     };
     const double by = std::max(kind_gain, 1.0 / (few_arrivals + (few ? ++kind.paced : ++kind.pressed)));
-    if (hop.ending == Ending::honoured) nudge(few ? kind.pace : kind.press, by, few ? 0.3 : 0.01, few ? 5.0 : 2.0);
+    if (hop.ending == Ending::honoured)
+        nudge(few ? kind.pace : kind.press, by, few ? 0.3 : 0.01, few ? 5.0 : 2.0);
     nudge(few ? invoker.pace : invoker.press, few ? 0.03 : 0.05, 0.2, 5.0);
 }
 
@@ -759,8 +751,11 @@
             invoker->known = true;
             invoker->print = print_of(invoker->name);
             invoker->pace = invoker->press = 1;
-            const auto same = std::find_if(kinds_.begin(), kinds_.end(), [&](const Kind& k) { return k.name == invoker->kind_name; });
-            invoker->kind = same != kinds_.end() ? &*same : &kinds_.emplace_back(Kind{invoker->kind_name, 1, assumed_press, 0, 0});
+            const auto same = std::find_if(kinds_.begin(), kinds_.end(),
+                                           [&](const Kind& k) { return k.name == invoker->kind_name; });
+            invoker->kind = same != kinds_.end()
+                                ? &*same
+                                : &kinds_.emplace_back(Kind{invoker->kind_name, 1, assumed_press, 0, 0});
             fleet_.push_back(invoker);
         }
         if (back) forget(*invoker);
@@ -809,8 +804,8 @@
             invoker.standing = Standing::trusted;
             break;
         case Standing::aside:
-            // Guards against pushing over what has started again before the list says so (incident i4386e0). It
-            // could harm where only the line was down: the invoker is used little until warm.
+            // Guards against pushing over what has started again before the list says so (incident i4386e0).
+            // It could harm where only the line was down: the invoker is used little until warm.
             if (invoker.down) begin_cold(invoker, now_);
             invoker.down = false;
             if (invoker.answered < answers_back) break;
@@ -823,14 +818,11 @@
     }
 }
 
-// An invoker that turned a job away is left alone for a moment, and for longer where a copy would need room:
-// each time in a row for twice as long. Against memory that is full and against resends that hammer.
+// An invoker that turned a job away is left alone for a moment, and for longer where a copy would need room.
+// Against memory that is full and against resends that hammer.
 void Controller::turned_away(Invoker& invoker) {
     invoker.shun_until = now_ + shun;
-    if (invoker.no_room_until > now_) return;
-    const bool in_a_row = now_ - invoker.no_room_until < most_no_room;
-    invoker.no_room = std::clamp(in_a_row ? 2 * invoker.no_room : Time{}, least_no_room, most_no_room);
-    invoker.no_room_until = now_ + invoker.no_room;
+    invoker.no_room_until = now_ + no_room;
 }
 
 // Silence, resets and connections that do not come about, whatever is behind them: first doubted, then set
@@ -907,14 +899,16 @@
         const bool ill = standing == Standing::suspect || standing == Standing::aside;
         const bool quiet = now_ - invoker->heard > quiet_gap;
         const bool rested = now_ - invoker->probed > probe_gap;
-        if (ill || (quiet && rested && !invoker->out.empty() && now_ - invoker->out.front()->sent > quiet_gap))
+        if (ill ||
+            (quiet && rested && !invoker->out.empty() && now_ - invoker->out.front()->sent > quiet_gap))
             probe(*invoker);
         else if (rested && (quiet || now_ - invoker->held_at > probe_gap))
             stale.push_back(invoker);
     }
     // Reports only as far as the jobs taken pay for them, and first from those that were used last.
     while (!stale.empty() && probes_left_ >= 1) {
-        const auto next = std::max_element(stale.begin(), stale.end(), [](const Invoker* a, const Invoker* b) { return a->used < b->used; });
+        const auto next = std::max_element(
+            stale.begin(), stale.end(), [](const Invoker* a, const Invoker* b) { return a->used < b->used; });
         probe(**next);
         stale.erase(next);
         --probes_left_;
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -106,8 +106,8 @@
     double probes_left_{};
     double level_{}, level_span_{};  // a fading count of arrivals, and over how many seconds
     Time seen_{};
-    double pushed_out_{};  // of the hops to a copy taken to stand, the part that found none
-    int list_{};  // how often the list has changed
+    double pushed_out_{};              // of the hops to a copy taken to stand, the part that found none
+    int list_{};                       // how often the list has changed
     std::deque<Time> taken_, orders_;  // kept for the ration only
 };
 
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -152,9 +152,10 @@
     Ticket due{};
     Time seen{};
     double level{};  // a fading count of arrivals
-    std::vector<Invoker*> order;  // the fleet, as the controllers rank it for this function, of list `order_of`
+    std::vector<Invoker*>
+        order;  // the fleet, as the controllers rank it for this function, of list `order_of`
     int order_of{};
-    int jobs{};      // unclosed
+    int jobs{};  // unclosed
 };
 
 // What is learned of all invokers of a kind; `pace` and `press` of one are relative to these.
@@ -192,7 +193,7 @@
     Time held_at{};
     int out_then{};                          // own hops out when the report was measured
     std::deque<std::pair<Time, int>> moves;  // lately sent and ended
-    Time shun_until{}, no_room{}, no_room_until{};
+    Time shun_until{}, no_room_until{};
 };
 
 struct CopyOrder {
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -235,7 +235,8 @@
 
     static void bound_by(int count, const std::vector<std::string>& w) {
         const double bound = number(w.back());
-        if (w[w.size() - 2] == "most" ? count > bound : count < bound) fail("it was " + std::to_string(count));
+        if (w[w.size() - 2] == "most" ? count > bound : count < bound)
+            fail("it was " + std::to_string(count));
     }
 
     static std::string option(const std::vector<std::string>& words, const std::string& key) {
