--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -114,7 +114,9 @@
 
     // Exception "shed": where it would answer too late only for the jobs ahead of it, it would make those
     // behind it late as well. Guards against overload, a tenant over its share and retry storms; it could
-    // harm where run times are overestimated. Where a calm invoker is left, it brings a copy there instead.
+    // harm where run times are overestimated. A fresh job parks for one delay first, as the design has it,
+    // but not a repeat of a client that gives up before the promised time: its job mostly did not fit in that
+    // time before. Where a calm invoker is left, a favourite brings a copy there instead (exception "seed").
     const bool hasty = job.again && job.time_left < job.use_case->promised;
     const double part = hasty ? shed_wait_hasty : job.over_share ? shed_wait_over_share : shed_wait;
     const double patience = part * in_seconds(job.promised - job.taken);
@@ -571,7 +573,8 @@
         case Ending::overdue:
         case Ending::called_off:
             // Not answered for longer than expected teaches at least that: else what grows slow, and what
-            // loses answers, is known only by the jobs that got through. Guards against invokers that age.
+            // loses answers, is known only by the jobs that got through. Guards against invokers that age; it
+            // could harm where clients leave early.
             if (hop.expected_warm && in_seconds(now - hop.sent) > function.run * ratio_at(hop))
                 learn_ratio(hop, in_seconds(now - hop.sent));
             // A load that has begun goes on without the job that wanted it.
@@ -751,11 +754,7 @@
             invoker->known = true;
             invoker->print = print_of(invoker->name);
             invoker->pace = invoker->press = 1;
-            const auto same = std::find_if(kinds_.begin(), kinds_.end(),
-                                           [&](const Kind& k) { return k.name == invoker->kind_name; });
-            invoker->kind = same != kinds_.end()
-                                ? &*same
-                                : &kinds_.emplace_back(Kind{invoker->kind_name, 1, assumed_press, 0, 0});
+            if (invoker->kind->pace == 0) *invoker->kind = {1, assumed_press, 0, 0};
             fleet_.push_back(invoker);
         }
         if (back) forget(*invoker);
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -93,7 +93,6 @@
     Results results_;
     std::vector<Invoker*> fleet_;
     std::vector<Function*> functions_;
-    std::deque<Kind> kinds_;
     std::map<Ticket, Due> due_;
     std::uint64_t tickets_{};
     Time sweep_at_{}, back_at_{};
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -160,7 +160,6 @@
 
 // What is learned of all invokers of a kind; `pace` and `press` of one are relative to these.
 struct Kind {
-    std::string name;
     double pace{}, press{};
     int paced{}, pressed{};  // how many runs taught these
 };
@@ -171,7 +170,8 @@
     std::string name;  // set at the door, down to `cell`, and again with each change
     bool ready{};
     double units{};
-    std::string zone, kind_name;
+    std::string zone;
+    Kind* kind{};
     int cell{};
     std::optional<Time> started;  // absent: long ago
 
@@ -186,7 +186,6 @@
     bool probing{};
     Time probed{}, heard{}, used{}, aside_since{};
     std::vector<Hop*> out;
-    Kind* kind{};
     double pace{}, press{};  // learned: slowness when idle, and slowness for each job held
     std::optional<double> held;
     double usual{};  // others' jobs there, over its last reports
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -236,7 +236,7 @@
             invoker->ready = get<std::string>(entry, "readiness") == "Ready";
             invoker->units = get<double>(entry, "units", 1.0);
             invoker->zone = get<std::string>(entry, "locality");
-            invoker->kind_name = get<std::string>(entry, "shape");
+            invoker->kind = &kinds_[get<std::string>(entry, "shape")];
             invoker->cell = get<int>(entry, "unit_group");
             invoker->started.reset();
             if (const Time started = span(entry, "start_time"); started != Time{})
@@ -312,6 +312,7 @@
     const Time start_;
     std::map<std::string, UseCase> use_cases_;
     std::map<std::string, Tenant> tenants_;
+    std::map<std::string, Kind> kinds_;
     std::vector<std::string> fields_;
     bool says_company_{};
     std::unordered_map<std::uint64_t, std::unique_ptr<Job>> jobs_;
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -87,6 +87,7 @@
     UseCase use;
     Time expiry{};
     Tenant tenant;
+    Kind kind;
     std::unique_ptr<Controller> controller;
     std::map<std::string, std::unique_ptr<Invoker>> invokers;
     std::map<std::string, std::unique_ptr<Function>> functions;
@@ -190,6 +191,7 @@
             std::unique_ptr<Invoker>& entry = invokers[name];
             if (!entry) entry = std::make_unique<Invoker>();
             entry->name = name;
+            entry->kind = &kind;
             entry->units = 1;
             entry->ready = true;
             while (std::getline(parts, part, '/')) {
