--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -412,14 +412,16 @@
     }
     // Exception "seed": where all of these are crowded, place() may bring a favourite's copy to the next calm
     // invoker in the shared order instead of shedding. Not while copies are found pushed out before their
-    // time: then each load pushes out one in use, and the overload keeps itself going.
+    // time, or an invoker has just had no room: then each load pushes out one in use, and the overload keeps
+    // itself going.
     if (!best.invoker || pushed_out_ > seldom || best.wait < seed_wait * in_seconds(job.use_case->promised))
         return best;
+    if (std::any_of(order.begin(), order.end(), [&](Invoker* i) { return i->no_room_until > now_; }))
+        return best;
     for (std::size_t i = 0; i < order.size() && !best.calm; ++i) {
         Choice there;
         estimate(function, *order[i], nullptr, there);
-        if (may_hop(job, *order[i]) && order[i]->no_room_until <= now_ &&
-            there.wait < seed_calm * in_seconds(job.use_case->promised))
+        if (may_hop(job, *order[i]) && there.wait < seed_calm * in_seconds(job.use_case->promised))
             best.calm = order[i];
     }
     return best;
