--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,100 @@
+// plumkeel: one binary, one command a task.
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <random>
+
+#include "charter/charter.hpp"
+#include "cli/client.hpp"
+#include "gateway/gateway.hpp"
+#include "log/log.hpp"
+#include "net/real.hpp"
+
+namespace {
+
+using namespace plumkeel;
+
+std::map<std::string, std::string> variables(const std::vector<std::string>& given) {
+    std::map<std::string, std::string> out;
+    for (const std::string& each : given) {
+        const auto equals = each.find('=');
+        if (equals == std::string::npos) throw CharterFault("--var " + each + ": is no NAME=VALUE");
+        out[each.substr(0, equals)] = each.substr(equals + 1);
+    }
+    return out;
+}
+
+int serve(const Charter& charter, std::optional<std::uint64_t> seed) {
+    net::RealWorld world;
+    Log log(world, charter.log);
+    const std::uint64_t chosen = seed ? *seed : std::random_device{}() | std::uint64_t{std::random_device{}()} << 32;
+    gateway::Gateway gateway(world, charter, log, chosen);
+    if (const net::Error error = gateway.open()) {
+        std::string why = error.message();
+        if (error == net::asio::error::address_in_use)
+            if (const std::string who = net::holder_of(net::Address::parse(charter.listen)->port); !who.empty())
+                why += ": held by " + who;
+        std::cerr << "plumkeel: can't listen on " << charter.listen << ": " << why << '\n';
+        return 1;
+    }
+    log.line(Log::Level::info, "serving",
+             {{"listen", gateway.address().text()}, {"name", charter.name}, {"seed", std::to_string(chosen)}});
+    world.on_end_signal([&] {
+        log.line(Log::Level::info, "closing");
+        gateway.close([&] {
+            log.line(Log::Level::info, "closed");
+            world.stop();
+        });
+    });
+    world.run();
+    return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app("plumkeel: a gateway that runs jobs on invokers which load functions on demand");
+    app.require_subcommand(1);
+    std::string file, at = "127.0.0.1:7400";
+    std::vector<std::string> vars;
+    std::optional<std::uint64_t> seed;
+
+    CLI::App* serve_command = app.add_subcommand("serve", "run a controller until SIGTERM");
+    CLI::App* check_command = app.add_subcommand("check", "read settings and say what is wrong with them");
+    for (CLI::App* command : {serve_command, check_command}) {
+        command->add_option("settings", file, "Jsonnet template")->required();
+        command->add_option("--var", vars, "NAME=VALUE, read in the template as std.extVar(NAME)");
+    }
+    serve_command->add_option("--seed", seed, "of the controller's chance; random if left out");
+
+    CLI::App* status_command = app.add_subcommand("status", "ask a running controller how it is");
+    CLI::App* send_command = app.add_subcommand("send", "send one job and print its answer");
+    for (CLI::App* command : {status_command, send_command})
+        command->add_option("--at", at, "address of the controller")->capture_default_str();
+    cli::Job job;
+    send_command->add_option("function", job.function)->required();
+    send_command->add_option("--use-case", job.use_case)->required();
+    send_command->add_option("--body", job.body, "a file, or - for the standard input");
+    send_command->add_option("--tenant", job.tenant);
+    send_command->add_option("--time-left", job.time_left, "such as 4s")->capture_default_str();
+    send_command->add_option("--lanes", job.lanes);
+    send_command->add_option("--memory", job.memory, "MB of a loaded copy");
+    send_command->add_option("--mark", job.mark, "by which a repeat of a referenced job is known");
+    send_command->add_flag("--again", job.again, "this job was tried before");
+    CLI11_PARSE(app, argc, argv);
+
+    try {
+        if (*serve_command) return serve(read_charter(file, variables(vars)), seed);
+        if (*check_command) {
+            read_charter(file, variables(vars));
+            std::cout << file << ": good\n";
+            return 0;
+        }
+        if (*status_command) return cli::status(at);
+        return cli::send(at, job);
+    } catch (const std::exception& fault) {
+        std::cerr << "plumkeel: " << fault.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,431 @@
+#include "gateway/gateway.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cassert>
+
+#include "gateway/visit.hpp"
+
+namespace plumkeel::gateway {
+
+using namespace std::chrono_literals;
+namespace field = protocol::field;
+
+class HopErrand : public Errand {
+public:
+    HopErrand(Gateway& gateway, Ward& of, Hop& as) : gateway_(gateway), ward(of), hop(as) {}
+
+    void ended(Outcome outcome) override { gateway_.hop_ended(*this, std::move(outcome)); }
+    bool begins(const http::AnswerHead& answer) override { return gateway_.hop_begins(*this, answer); }
+    void part(std::string bytes) override {
+        if (ward.visit) ward.visit->part(std::move(bytes));
+    }
+    net::Task<bool> room() override {
+        if (!ward.visit) co_return false;
+        co_return co_await ward.visit->room();
+    }
+
+private:
+    Gateway& gateway_;
+
+public:
+    Ward& ward;
+    Hop& hop;
+    std::optional<Outcome> held_back;  // it ended while another hop's answer streams
+};
+
+class ProbeErrand : public Errand {
+public:
+    ProbeErrand(Gateway& gateway, Post& post) : gateway_(gateway), post_(post) { light = true; }
+    void ended(Outcome outcome) override {
+        post_.asked = false;
+        const bool answered = outcome.head && outcome.ending == Ending::honoured;
+        gateway_.feed([&](Controller& it, Time now) { return it.probe_answered(now, post_, answered, outcome.report); });
+    }
+
+private:
+    Gateway& gateway_;
+    Post& post_;
+};
+
+class OrderErrand : public Errand {
+public:
+    OrderErrand(Gateway& gateway, Post& post, std::string function, bool awaited)
+        : gateway_(gateway), post_(post), function_(std::move(function)), awaited_(awaited) {
+        light = true;
+    }
+    void ended(Outcome outcome) override {
+        const auto it = gateway_.functions_.find(function_);
+        if (!awaited_ || it == gateway_.functions_.end()) return;
+        gateway_.feed([&](Controller& controller, Time now) {
+            return controller.load_answered(now, *it->second, post_, outcome.ending, outcome.copies);
+        });
+    }
+
+private:
+    Gateway& gateway_;
+    Post& post_;
+    const std::string function_;
+    const bool awaited_;
+};
+
+Gateway::Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed)
+    : world_(world),
+      charter_(std::move(charter)),
+      log_(log),
+      door_(charter_.door),
+      incarnation_(fmt::format("{}/{:x}", charter_.name, world.wall() / 1ms)),
+      tenants_(charter_.tenants),
+      controller_(seed, charter_.rulebook, charter_.allowances),
+      roster_(world, charter_.list, incarnation_, log, seed,
+              [this](const auto& changed, bool complete) { fleet_told(changed, complete); }) {}
+
+Gateway::~Gateway() = default;
+
+net::Error Gateway::open() {
+    const auto address = net::Address::parse(charter_.listen);
+    auto listened = world_.listen(*address);
+    if (listened.error) return listened.error;
+    listener_ = std::move(listened.listener);
+    std::vector<fleet::Entry> fixed;
+    for (const StatedInvoker& each : charter_.list.fixed)
+        fixed.push_back({each.name, each.address, each.zone, each.kind, true, each.units, each.cell, {}});
+    fleet_told(fixed, true);
+    if (!charter_.list.consul.empty()) roster_.follow();
+    world_.spawn(accept());
+    return {};
+}
+
+net::Task<> Gateway::accept() {
+    const auto listener = listener_;
+    for (;;) {
+        auto accepted = co_await listener->accept();
+        if (accepted.error == net::asio::error::operation_aborted) co_return;
+        if (accepted.error) {
+            // Nearly always for want of descriptors. The connection stays in the backlog, so accepting at
+            // once again would spin.
+            log_.line(Log::Level::error, "accept_broke", {{"why", accepted.error.message()}});
+            co_await world_.sleep(door_.no_descriptors());
+            continue;
+        }
+        door_.accepted();
+        const Objection objection = door_.connection_came();
+        if (objection != Objection::none) {
+            door_.count(objection);
+            const std::string head = http::HeadWriter(http::status_line(503))
+                                         .add(field::objection, told(objection).word)
+                                         .add(field::outcome, "bounced")
+                                         .add("Retry-After", "1")
+                                         .add("Connection", "close")
+                                         .add("Content-Length", "0")
+                                         .done();
+            const net::asio::const_buffer whole = net::asio::buffer(head);
+            accepted.stream->write_now({&whole, 1});
+            accepted.stream->end_sending();
+            accepted.stream->close();
+            continue;
+        }
+        const auto visit = std::make_shared<Visit>(*this, std::move(accepted.stream));
+        visits_[visit.get()] = visit;
+        visit->start();
+    }
+}
+
+void Gateway::close(std::function<void()> then) {
+    then_ = std::move(then);
+    door_.close();
+    if (listener_) listener_->close();
+    const auto visits = visits_;
+    for (const auto& [at, visit] : visits) visit->go_if_idle();
+    see_whether_done();
+}
+
+void Gateway::see_whether_done() {
+    if (!then_ || door_.open_jobs() > 0) return;
+    if (std::any_of(visits_.begin(), visits_.end(), [](const auto& each) { return each.second->busy(); })) return;
+    const auto then = std::exchange(then_, nullptr);
+    world_.at(world_.now(), then);
+}
+
+void Gateway::visit_gone(const std::shared_ptr<Visit>& visit) {
+    if (visits_.erase(visit.get())) door_.connection_left();
+    see_whether_done();
+}
+
+// ---------------------------------------------------------------- what happens
+
+template <class Call>
+void Gateway::feed(Call call) {
+    assert(!feeding_);  // carrying out never calls back before it returns
+    feeding_ = true;
+    const Results results = call(controller_, world_.now());
+    carry_out(results);
+    feeding_ = false;
+}
+
+Ward* Gateway::take(Wanted wanted, std::shared_ptr<Visit> visit) {
+    std::unique_ptr<Function>& function = functions_[wanted.function];
+    if (!function) function = std::make_unique<Function>();
+    function->name = wanted.function;
+    function->lanes = wanted.lanes;
+    if (wanted.told_load) function->told_load = wanted.told_load;
+
+    auto fresh = std::make_unique<Ward>();
+    Ward& ward = *fresh;
+    ward.id = ++ids_;
+    ward.use_case = wanted.use_case;
+    ward.function = function.get();
+    ward.time_left = wanted.left;
+    ward.again = wanted.again;
+    if (const auto tenant = tenants_.find(wanted.tenant); tenant != tenants_.end()) ward.tenant = &tenant->second;
+    ward.visit = std::move(visit);
+    ward.held = wanted.body.size();
+    http::HeadWriter tail("");
+    tail.add(field::controller, incarnation_).add(field::job, static_cast<std::int64_t>(ward.id));
+    tail.add(field::use_case, wanted.use_case->name);
+    if (!wanted.mark.empty()) tail.add(field::mark, wanted.mark);
+    tail.add(field::lanes, static_cast<std::int64_t>(wanted.lanes));
+    if (wanted.memory) tail.add(field::memory, static_cast<std::int64_t>(*wanted.memory));
+    tail.lines(wanted.passed).add("Content-Length", static_cast<std::int64_t>(wanted.body.size()));
+    ward.tail = tail.done().substr(2);
+    ward.body = std::make_shared<const std::string>(std::move(wanted.body));
+    jobs_[ward.id] = std::move(fresh);
+    ++tally_.taken;
+
+    feed([&](Controller& it, Time now) { return it.take(now, ward); });
+    const auto still = jobs_.find(ids_);
+    return still == jobs_.end() || ward.answered() ? nullptr : &ward;
+}
+
+void Gateway::client_left(Ward& ward) {
+    ward.visit = nullptr;
+    feed([&](Controller& it, Time now) { return it.client_left(now, ward); });
+    count(ward);
+    drop_if_closed(ward);
+}
+
+bool Gateway::hop_begins(HopErrand& errand, const http::AnswerHead& head) {
+    Ward& ward = errand.ward;
+    if (ward.answered() || ward.streams || !ward.visit) return false;
+    ward.streams = &errand;
+    feed([&](Controller& it, Time now) { return it.hop_accepted(now, errand.hop); });
+    ++tally_.streamed;
+    ward.visit->begin(head.result_int(), ward, http::lines_passed_on(head));
+    // The job is bound to this answer: no other hop of it can be of use any more.
+    for (const auto& other : ward.errands)
+        if (other.get() != &errand && other->hop.out) static_cast<Post&>(*other->hop.invoker).lines->call_off(*other);
+    return true;
+}
+
+void Gateway::hop_ended(HopErrand& errand, Outcome outcome) {
+    Ward& ward = errand.ward;
+    // While an answer streams, the module is told of the others' ends behind it: they decide nothing.
+    if (ward.streams && ward.streams != &errand && !ward.answered()) {
+        errand.held_back = std::move(outcome);
+        return;
+    }
+    const bool late = ward.answered();
+    const bool whole = outcome.ending == Ending::honoured;
+    if (late && whole) ++tally_.late;
+    if (log_.wants(Log::Level::debug))
+        log_.line(Log::Level::debug, "hop_ended",
+                  {{"job", ward.id}, {"hop", errand.hop.number}, {"invoker", errand.hop.invoker->name},
+                   {"ending", static_cast<int>(outcome.ending)}, {"late", late}});
+    // The client's answer leaves before what the end of the hop sets going.
+    feed([&](Controller& it, Time now) {
+        Results results = it.hop_ended(now, errand.hop, outcome.ending, outcome.note, outcome.company, outcome.report);
+        if (!late && ward.answered() && ward.state != JobState::bounced && ward.state != JobState::written_off) {
+            const auto visit = std::exchange(ward.visit, nullptr);
+            if (!visit) {
+            } else if (ward.streams) {
+                visit->end(whole);
+            } else if (whole) {
+                visit->say(outcome.head->result_int(), protocol::outcome_word(ward.state), ward,
+                           http::lines_passed_on(*outcome.head), std::move(outcome.body));
+            }
+            count(ward);
+        }
+        return results;
+    });
+    for (const auto& other : ward.errands)
+        if (other->held_back) {
+            const Outcome then = *std::exchange(other->held_back, std::nullopt);
+            feed([&](Controller& it, Time now) {
+                return it.hop_ended(now, other->hop, then.ending, then.note, then.company, then.report);
+            });
+        }
+    drop_if_closed(ward);
+}
+
+void Gateway::fleet_told(const std::vector<fleet::Entry>& changed, bool complete) {
+    std::vector<Invoker*> invokers;
+    const Time zero = world_.wall() - world_.now();
+    for (const fleet::Entry& entry : changed) {
+        std::unique_ptr<Post>& post = posts_[entry.name];
+        if (!post) post = std::make_unique<Post>();
+        post->name = entry.name;
+        post->ready = entry.ready;
+        post->units = entry.units;
+        post->zone = entry.zone;
+        post->kind = &kinds_[entry.kind];
+        post->cell = entry.cell;
+        post->started.reset();
+        if (entry.started) post->started = *entry.started - zero;
+        const auto address = net::Address::parse(entry.address);
+        if (post->lines)
+            post->lines->move_to(*address);
+        else
+            post->lines = std::make_unique<Lines>(world_, charter_.lines, *address, line_counts_);
+        invokers.push_back(post.get());
+    }
+    feed([&](Controller& it, Time now) { return it.fleet_changed(now, invokers, complete); });
+    // The module sends nothing new to what takes no more; what waits here for a connection is new as well.
+    for (const auto& [name, post] : posts_)
+        if (!post->ready || !post->listed) post->lines->withdraw();
+}
+
+// ---------------------------------------------------------------- carrying out
+
+void Gateway::carry_out(const Results& results) {
+    for (Hop* hop : results.called_off) {
+        const auto& errand = static_cast<Ward*>(hop->job)->errands[static_cast<std::size_t>(hop->number)];
+        static_cast<Post*>(hop->invoker)->lines->call_off(*errand);
+    }
+    for (Job* job : results.answered) answer(static_cast<Ward&>(*job));
+    for (Hop* hop : results.started) send_hop(*hop);
+    for (Invoker* invoker : results.probed) send_probe(static_cast<Post&>(*invoker));
+    for (const CopyOrder& order : results.ordered) send_order(order);
+    for (Job* job : results.answered) drop_if_closed(static_cast<Ward&>(*job));
+    for (const Function* function : results.forgotten) functions_.erase(std::string(function->name));
+    if (results.next_wake < wake_at_) {
+        world_.drop(wake_);
+        wake_at_ = results.next_wake;
+        wake_ = world_.at(wake_at_, [this] {
+            wake_ = {};
+            wake_at_ = Time::max();
+            feed([](Controller& it, Time now) { return it.wake(now); });
+        });
+    }
+}
+
+Errand& Gateway::fill(Errand& errand, std::string head, Time within) {
+    errand.head = std::move(head);
+    errand.until = world_.now() + within;
+    return errand;
+}
+
+void Gateway::send_hop(Hop& hop) {
+    Ward& ward = static_cast<Ward&>(*hop.job);
+    const auto errand = std::make_shared<HopErrand>(*this, ward, hop);
+    ward.errands.push_back(errand);
+    fill(*errand,
+         fmt::format("POST /v1/run/{} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}: {}\r\n{}", http::encoded(ward.function->name),
+                     hop.invoker->name, field::hop, hop.number, field::limit, hop.limit / 1ms, ward.tail),
+         hop.limit);
+    errand->body = ward.body;
+    // An invoker may close a connection that idled at the very moment when a hop leaves on it. What may run but
+    // once is not put at that risk: it leaves on a connection of its own.
+    errand->fresh_line = ward.use_case->repeat == Repeat::single_use;
+    ++tally_.hops;
+    static_cast<Post&>(*hop.invoker).lines->send(errand);
+}
+
+void Gateway::send_probe(Post& post) {
+    ++tally_.probes;
+    const auto errand = std::make_shared<ProbeErrand>(*this, post);
+    fill(*errand, fmt::format("GET /v1/load HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n\r\n", post.name, field::controller, incarnation_),
+         charter_.lines.probe_within);
+    post.asked = true;
+    post.lines->send(errand);
+}
+
+void Gateway::send_order(const CopyOrder& order) {
+    ++tally_.orders;
+    Post& post = static_cast<Post&>(*order.invoker);
+    const auto errand = std::make_shared<OrderErrand>(*this, post, order.function->name, order.copies > 0);
+    const std::string copies = order.copies > 0 ? fmt::format("{}: {}\r\n", field::copies, order.copies) : "";
+    fill(*errand,
+         fmt::format("{} /v1/copies/{} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}Content-Length: 0\r\n\r\n",
+                     order.copies > 0 ? "PUT" : "DELETE", http::encoded(order.function->name), post.name,
+                     field::controller, incarnation_, copies),
+         charter_.lines.order_within);
+    post.lines->send(errand);
+}
+
+// A final answer that the module gives by itself.
+void Gateway::answer(Ward& ward) {
+    const bool bounced = ward.state == JobState::bounced;
+    log_.line(Log::Level::info, bounced ? "job_bounced" : "job_written_off",
+              {{"job", ward.id}, {"function", ward.function->name}, {"use_case", static_cast<const StatedUseCase*>(ward.use_case)->name},
+               {"hops", ward.hops.size()}, {"after_ms", (world_.now() - ward.taken) / 1ms}});
+    if (const auto visit = std::exchange(ward.visit, nullptr))
+        visit->say(bounced ? 503 : 504, protocol::outcome_word(ward.state), ward, "", "");
+    count(ward);
+}
+
+// Once for each job, when it has its final answer or its client has left.
+void Gateway::count(const Ward& ward) {
+    door_.job_left();
+    door_.let_go(ward.held);
+    switch (ward.state) {
+        case JobState::honoured:
+            ++tally_.honoured;
+            break;
+        case JobState::bounced:
+            ++tally_.bounced;
+            break;
+        case JobState::written_off:
+            ++tally_.written_off;
+            break;
+        default:
+            ++tally_.abandoned;
+    }
+    if (log_.wants(Log::Level::debug))
+        log_.line(Log::Level::debug, "job_ended",
+                  {{"job", ward.id}, {"state", static_cast<int>(ward.state)}, {"hops", ward.hops.size()}});
+    see_whether_done();
+}
+
+void Gateway::drop_if_closed(Ward& ward) {
+    if (ward.closed()) jobs_.erase(ward.id);
+}
+
+boost::json::object Gateway::status() const {
+    boost::json::object door;
+    for (int i = 1; i < static_cast<int>(Objection::count_); ++i) {
+        const auto objection = static_cast<Objection>(i);
+        if (door_.counted(objection)) door[told(objection).word] = door_.counted(objection);
+    }
+    std::size_t parked = 0, open_lines = 0;
+    for (const auto& [id, ward] : jobs_) parked += ward->state == JobState::parked;
+    boost::json::object standings{{"trusted", 0}, {"suspect", 0}, {"aside", 0}, {"easing", 0}, {"not_ready", 0}};
+    static constexpr const char* words[] = {"trusted", "suspect", "aside", "easing"};
+    for (const auto& [name, post] : posts_) {
+        open_lines += post->lines->open();
+        auto& slot = standings[post->ready && post->listed ? words[static_cast<int>(post->standing)] : "not_ready"];
+        slot = slot.as_int64() + 1;
+    }
+    const auto& told_at = roster_.follower().told();
+    return {{"controller", incarnation_},
+            {"up_s", static_cast<double>(world_.now().count()) / 1e6},
+            {"closing", door_.closing()},
+            {"jobs",
+             {{"taken", tally_.taken}, {"honoured", tally_.honoured}, {"bounced", tally_.bounced},
+              {"written_off", tally_.written_off}, {"client_left", tally_.abandoned}, {"open", door_.open_jobs()},
+              {"parked", parked}, {"streamed", tally_.streamed}, {"late_answers", tally_.late}}},
+            {"hops", tally_.hops},
+            {"probes", tally_.probes},
+            {"orders", tally_.orders},
+            {"door", {{"connections", door_.connections()}, {"held_bytes", door_.held_bytes()}, {"turned_back", door}}},
+            {"lines",
+             {{"open", open_lines}, {"opened", line_counts_.opened}, {"reused", line_counts_.reused},
+              {"unreachable", line_counts_.unreachable}}},
+            {"functions", functions_.size()},
+            {"invokers", standings},
+            {"list_age_s", told_at ? boost::json::value(static_cast<double>((world_.now() - *told_at).count()) / 1e6)
+                                   : boost::json::value(nullptr)},
+            {"log_lost", log_.lost()}};
+}
+
+}  // namespace plumkeel::gateway
--- /dev/null
+++ b/src/gateway/gateway.hpp
@@ -0,0 +1,118 @@
+// Hosts the decision module on sockets: feeds one Controller what happens and carries out what it decides. One
+// process, one Controller, one thread. Nothing is decided here that the module, the door or the follower decide.
+#pragma once
+
+#include <boost/json.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include "charter/charter.hpp"
+#include "dispatch/controller.hpp"
+#include "door/door.hpp"
+#include "fleet/roster.hpp"
+#include "gateway/lines.hpp"
+#include "log/log.hpp"
+#include "net/world.hpp"
+
+namespace plumkeel::gateway {
+
+class Visit;
+class HopErrand;
+
+// What a client asked for, as the door has checked it.
+struct Wanted {
+    const StatedUseCase* use_case{};
+    std::string function, tenant, mark, passed;  // `passed`: the fields that go on to the invoker
+    Time left{};
+    int lanes = 1;
+    std::optional<int> memory;
+    std::optional<Time> told_load;
+    bool again{};
+    std::string body;
+};
+
+// A job as the gateway holds it: the module's part and what is needed to send it and to answer.
+struct Ward : Job {
+    std::shared_ptr<Visit> visit;  // until the answer has begun, or the client has left
+    std::string tail;              // the head of its hops, but for what differs from hop to hop
+    std::shared_ptr<const std::string> body;
+    std::size_t held{};  // bytes counted at the door
+    std::vector<std::shared_ptr<HopErrand>> errands;
+    const HopErrand* streams{};  // whose answer is being passed on
+};
+
+struct Post : Invoker {
+    std::unique_ptr<Lines> lines;
+    bool asked{};  // a probe is out
+};
+
+struct Tally {
+    std::uint64_t taken{}, honoured{}, bounced{}, written_off{}, abandoned{}, streamed{}, hops{}, late{}, probes{},
+        orders{};
+};
+
+class Gateway {
+public:
+    Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed);
+    ~Gateway();
+
+    // Takes jobs from now on; the error of the listen, if it did not come about.
+    net::Error open();
+    // Takes no more; calls `then` once every open job has its answer and every answer has left.
+    void close(std::function<void()> then);
+    net::Address address() const { return listener_->address(); }
+    boost::json::object status() const;
+
+private:
+    friend class Visit;
+    friend class HopErrand;
+    friend class ProbeErrand;
+    friend class OrderErrand;
+
+    net::Task<> accept();
+    Ward* take(Wanted wanted, std::shared_ptr<Visit> visit);
+    void client_left(Ward& ward);
+    void hop_ended(HopErrand& errand, Outcome outcome);
+    bool hop_begins(HopErrand& errand, const http::AnswerHead& head);
+    void fleet_told(const std::vector<fleet::Entry>& changed, bool complete);
+
+    void carry_out(const Results& results);
+    void send_hop(Hop& hop);
+    void send_probe(Post& post);
+    void send_order(const CopyOrder& order);
+    void answer(Ward& ward);
+    void count(const Ward& ward);
+    void drop_if_closed(Ward& ward);
+    void visit_gone(const std::shared_ptr<Visit>& visit);
+    void see_whether_done();
+    Errand& fill(Errand& errand, std::string head, Time within);
+    // Every call into the module goes through here.
+    template <class Call>
+    void feed(Call call);
+
+    net::World& world_;
+    const Charter charter_;
+    Log& log_;
+    Door door_;
+    std::string incarnation_;  // name and start, told with each hop
+    std::map<std::string, Tenant> tenants_;
+    std::map<std::string, Kind> kinds_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Ward>> jobs_;
+    std::unordered_map<std::string, std::unique_ptr<Function>> functions_;
+    std::map<std::string, std::unique_ptr<Post>> posts_;
+    LineCounts line_counts_;
+    Tally tally_;
+    Controller controller_;
+    fleet::Roster roster_;
+    std::shared_ptr<net::Listener> listener_;
+    std::map<const Visit*, std::shared_ptr<Visit>> visits_;  // by address, but never walked for a decision
+    std::uint64_t ids_{};
+    net::World::Ticket wake_{};
+    Time wake_at_ = Time::max();
+    bool feeding_{};
+    std::function<void()> then_;
+};
+
+}  // namespace plumkeel::gateway
--- /dev/null
+++ b/src/gateway/protocol.hpp
@@ -0,0 +1,70 @@
+// The words of plumkeel's own protocol over HTTP/1.1 (docs/protocol.md), and what an invoker's answer proves.
+// Free of I/O.
+#pragma once
+
+#include <string_view>
+
+#include "dispatch/types.hpp"
+
+namespace plumkeel::protocol {
+
+namespace field {
+constexpr std::string_view use_case = "plumkeel-use-case", tenant = "plumkeel-tenant",
+                           time_left = "plumkeel-time-left", lanes = "plumkeel-lanes",
+                           memory = "plumkeel-memory", load_time = "plumkeel-load-time",
+                           mark = "plumkeel-mark", again = "plumkeel-again", outcome = "plumkeel-outcome",
+                           objection = "plumkeel-objection", job = "plumkeel-job", hops = "plumkeel-hops",
+                           hop = "plumkeel-hop", limit = "plumkeel-limit", controller = "plumkeel-controller",
+                           note = "plumkeel-note", company = "plumkeel-company",
+                           never_ran = "plumkeel-never-ran", copies = "plumkeel-copies",
+                           retry_after_ms = "plumkeel-retry-after-ms";
+}
+
+constexpr std::string_view outcome_word(JobState state) {
+    switch (state) {
+        case JobState::honoured:
+        case JobState::streaming:
+            return "honoured";
+        case JobState::bounced:
+            return "bounced";
+        default:
+            return "written-off";
+    }
+}
+
+constexpr Note note_of(std::string_view word) {
+    if (word == "stood-loaded") return Note::stood_loaded;
+    if (word == "began-load") return Note::began_load;
+    if (word == "joined-load") return Note::joined_load;
+    if (word == "load-broke") return Note::load_broke;
+    return Note::none;
+}
+
+// What a whole answer of an invoker says of its hop. Only the invoker's own word proves that it never ran: a
+// bare 503 may come from anything between, behind an invoker that did the work.
+constexpr Ending ending_of(unsigned status, std::string_view never_ran) {
+    if (never_ran == "turned-away" || never_ran == "draining") return Ending::turned_away;
+    if (never_ran == "not-loaded") return Ending::not_loaded;
+    return status >= 200 && status < 500 ? Ending::honoured : Ending::errored;
+}
+
+// How far an errand got when its connection ended, or its time, or the wish for it.
+enum class Reached { nothing_connected, nothing_written, some_written };
+enum class Cause { no_connection, line_broke, time_ran_out, called_off, withdrawn };
+
+// What that proves. Once a byte was handed over it may have run, whatever else is known.
+constexpr Ending ending_of(Reached reached, Cause cause) {
+    if (reached == Reached::nothing_connected && cause == Cause::no_connection) return Ending::unreachable;
+    if (reached != Reached::some_written) return Ending::never_sent;
+    switch (cause) {
+        case Cause::time_ran_out:
+            return Ending::overdue;
+        case Cause::called_off:
+        case Cause::withdrawn:
+            return Ending::called_off;
+        default:
+            return Ending::cut_off;
+    }
+}
+
+}  // namespace plumkeel::protocol
--- /dev/null
+++ b/src/gateway/visit.cpp
@@ -0,0 +1,337 @@
+#include "gateway/visit.hpp"
+
+#include <fmt/format.h>
+
+namespace plumkeel::gateway {
+
+using namespace std::chrono_literals;
+namespace bh = http::bh;
+namespace field = protocol::field;
+
+constexpr Time lingering = 1s;
+
+Visit::Visit(Gateway& gateway, std::shared_ptr<net::Stream> stream)
+    : gateway_(gateway),
+      stream_(std::move(stream)),
+      outbox_(std::make_shared<net::Outbox>(gateway.world_, stream_)),
+      inbox_(stream_, 128 * 1024),
+      answered_(gateway.world_) {}
+
+net::World& Visit::world() const {
+    return gateway_.world_;
+}
+
+void Visit::start() {
+    world().spawn(live(shared_from_this()));
+}
+
+net::Task<> Visit::live(std::shared_ptr<Visit> self) {
+    bool further = true;
+    while (further) further = co_await one_job();
+    unbound();
+    world().drop(reading_);
+    if (ward_) gateway_.client_left(*std::exchange(ward_, nullptr));
+    // What is unread when a connection closes makes its system send a reset, which may overtake our last
+    // answer: so what still comes is read and thrown away for a moment.
+    while (leaving_) {
+        inbox_.discard();
+        const net::Error error = co_await inbox_.more();
+        if (error) break;
+    }
+    outbox_->abandon();
+    stream_->close();
+    gateway_.visit_gone(self);
+}
+
+// From a job's head to its answer. False: the connection is done with.
+net::Task<bool> Visit::one_job() {
+    Parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(gateway_.door_.rules().head_bytes));
+    parser.body_limit(gateway_.door_.rules().body_bytes);
+    bool nobody = false;
+    Objection objection = co_await read_head(parser, nobody);
+    if (nobody || leaving_) co_return false;
+    if (objection != Objection::none) {
+        object(objection);
+        co_return false;
+    }
+    keep_ = parser.keep_alive();
+    chunked_ = parser.get().version() >= 11;
+    const auto path = http::path_of(http::view(parser.get().target()));
+    const bool plain = parser.get().method() == bh::verb::get && path.size() == 2 && path[0] == "v1";
+    if (plain && !parser.is_done()) {
+        object(Objection::malformed);
+        co_return false;
+    }
+    if (plain && (path[1] == "status" || path[1] == "health")) {
+        if (path[1] == "status")
+            say_plain(200, "application/json", boost::json::serialize(gateway_.status()) + "\n");
+        else
+            say_plain(gateway_.door_.closing() ? 503 : 200, "text/plain", gateway_.door_.closing() ? "closing\n" : "ok\n");
+        co_return !leaving_;
+    }
+    Wanted wanted;
+    if (path.size() != 3 || path[0] != "v1" || path[1] != "jobs" || parser.get().method() != bh::verb::post)
+        objection = Objection::no_such_path;
+    else
+        wanted.function = path[2];
+    if (objection == Objection::none) objection = understand(parser, wanted);
+    if (objection == Objection::none) objection = gateway_.door_.head_read(parser.content_length().value_or(0));
+    if (objection == Objection::none) objection = co_await read_body(parser, nobody);
+    if (nobody || leaving_) co_return false;
+    if (objection == Objection::none && !gateway_.listener_) objection = Objection::closing;
+    if (objection != Objection::none) {
+        object(objection);
+        co_return !leaving_;
+    }
+    wanted.body = std::move(parser.get().body());
+    wanted.passed = http::lines_passed_on(parser.get());
+    if (objection = gateway_.door_.hold(wanted.body.size()); objection != Objection::none) {
+        object(objection);
+        co_return !leaving_;
+    }
+    if (objection = gateway_.door_.job_came(); objection != Objection::none) {
+        gateway_.door_.let_go(wanted.body.size());
+        object(objection);
+        co_return !leaving_;
+    }
+    ward_ = gateway_.take(std::move(wanted), shared_from_this());
+    co_return co_await await_answer();
+}
+
+net::Task<Objection> Visit::read_head(Parser& parser, bool& nobody) {
+    const auto& rules = gateway_.door_.rules();
+    co_await outbox_->below(64 * 1024);  // who reads no answers gets no further jobs in
+    bool begun = inbox_.held() > 0;
+    bound(begun ? rules.head_within : rules.idle_for, begun ? Objection::head_too_slow : Objection::none);
+    bool first = begun;
+    while (!parser.is_header_done()) {
+        if (!std::exchange(first, false)) {
+            const net::Error error = co_await inbox_.more();
+            if (error) {
+                nobody = true;
+                break;
+            }
+            if (leaving_) co_return Objection::none;
+            if (!std::exchange(begun, true)) bound(rules.head_within, Objection::head_too_slow);
+        }
+        if (const net::Error error = inbox_.feed(parser)) {
+            unbound();
+            co_return error == bh::error::header_limit ? Objection::head_too_big : Objection::malformed;
+        }
+    }
+    unbound();
+    co_return Objection::none;
+}
+
+net::Task<Objection> Visit::read_body(Parser& parser, bool& nobody) {
+    if (parser.is_done()) co_return Objection::none;
+    if (http::beast::iequals(parser.get()[bh::field::expect], "100-continue"))
+        outbox_->send("HTTP/1.1 100 Continue\r\n\r\n");
+    const Time since = world().now();
+    parser.eager(true);
+    bool first = inbox_.held() > 0;
+    while (!parser.is_done()) {
+        if (!std::exchange(first, false)) {
+            bound(3s, Objection::body_too_slow);  // nothing at all for so long is too slow for any rate
+            const net::Error error = co_await inbox_.more();
+            unbound();
+            if (error) {
+                nobody = true;
+                co_return Objection::none;
+            }
+            if (leaving_) co_return Objection::none;
+        }
+        if (const net::Error error = inbox_.feed(parser))
+            co_return error == bh::error::body_limit ? Objection::body_too_big : Objection::malformed;
+        const auto slow = gateway_.door_.pace(since, world().now(), parser.get().body().size());
+        if (slow != Objection::none && !parser.is_done()) co_return slow;
+    }
+    co_return Objection::none;
+}
+
+Objection Visit::understand(const Parser& parser, Wanted& wanted) const {
+    const Door& door = gateway_.door_;
+    const auto& message = parser.get();
+    if (door.name(wanted.function) != Objection::none) return Objection::bad_function;
+    const auto use = gateway_.charter_.use_cases.find(std::string(http::field(message, field::use_case)));
+    if (use == gateway_.charter_.use_cases.end()) return Objection::no_such_use_case;
+    wanted.use_case = &use->second;
+    wanted.tenant = http::field(message, field::tenant);
+    wanted.mark = http::field(message, field::mark);
+    if (use->second.repeat == Repeat::referenced && wanted.mark.empty()) return Objection::mark_missing;
+    if (wanted.mark.size() > door.rules().name_bytes || wanted.tenant.size() > door.rules().name_bytes)
+        return Objection::bad_field;
+    if (const auto off = door.time_left(http::field(message, field::time_left), wanted.left); off != Objection::none)
+        return off;
+    bool good = true;
+    auto figure = [&](std::string_view name, int most) -> std::optional<int> {
+        const std::string_view digits = http::field(message, name);
+        if (digits.empty()) return {};
+        const auto value = http::number<int>(digits);
+        good = good && value && *value >= 0 && *value <= most;
+        return value;
+    };
+    if (const auto lanes = figure(field::lanes, 100'000)) wanted.lanes = std::max(1, *lanes);
+    wanted.memory = figure(field::memory, 100'000'000);
+    if (const auto told = figure(field::load_time, 3'600'000)) wanted.told_load = std::chrono::milliseconds(*told);
+    const std::string_view again = http::field(message, field::again);
+    good = good && (again.empty() || again == "0" || again == "1");
+    wanted.again = again == "1";
+    return good ? Objection::none : Objection::bad_field;
+}
+
+// Waits for the job's answer, and notes when the client leaves before. What comes early of a further job stays
+// in the inbox, which is bounded; its client is not watched meanwhile.
+net::Task<bool> Visit::await_answer() {
+    while (ward_) {
+        if (inbox_.held() == 0) {
+            const net::Error error = co_await inbox_.more();
+            if (error) co_return false;
+        } else {
+            co_await answered_.wait();
+        }
+    }
+    co_return !leaving_;
+}
+
+void Visit::say(unsigned status, std::string_view outcome, const Ward& ward, std::string_view passed,
+                std::string body) {
+    http::HeadWriter head(http::status_line(status));
+    head.add(field::outcome, outcome).add(field::job, static_cast<std::int64_t>(ward.id));
+    head.add(field::hops, static_cast<std::int64_t>(ward.hops.size()));
+    if (ward.state == JobState::bounced && ward.retry_after > Time{}) {
+        head.add("Retry-After", (ward.retry_after + 1s - Time(1)) / 1s);
+        head.add(field::retry_after_ms, ward.retry_after / 1ms);
+    }
+    head.lines(passed).add("Content-Length", static_cast<std::int64_t>(body.size()));
+    const bool last = !keep_ || gateway_.door_.closing();
+    if (last) head.add("Connection", "close");
+    outbox_->send(head.done(), std::make_shared<const std::string>(std::move(body)));
+    ward_ = nullptr;
+    watch_reading();
+    if (last)
+        bow_out();
+    else
+        bound(gateway_.door_.rules().idle_for, Objection::none);
+    answered_.fire();
+}
+
+void Visit::begin(unsigned status, const Ward& ward, std::string_view passed) {
+    http::HeadWriter head(http::status_line(status));
+    head.add(field::outcome, "honoured").add(field::job, static_cast<std::int64_t>(ward.id));
+    head.add(field::hops, static_cast<std::int64_t>(ward.hops.size())).lines(passed);
+    if (chunked_)
+        head.add("Transfer-Encoding", "chunked");
+    else
+        keep_ = false;  // an older client knows the end by the connection's
+    if (!keep_ || gateway_.door_.closing()) head.add("Connection", "close");
+    outbox_->send(head.done());
+    watch_reading();
+}
+
+void Visit::part(std::string bytes) {
+    if (bytes.empty()) return;
+    if (!chunked_) return outbox_->send(std::move(bytes));
+    outbox_->send(fmt::format("{:x}\r\n", bytes.size()), std::make_shared<const std::string>(std::move(bytes)));
+    outbox_->send("\r\n");
+    watch_reading();
+}
+
+void Visit::end(bool whole) {
+    ward_ = nullptr;
+    if (!whole) {
+        // The client must not take what it has for the whole answer.
+        stream_->reset();
+    } else {
+        if (chunked_) outbox_->send("0\r\n\r\n");
+        if (!keep_ || gateway_.door_.closing())
+            bow_out();
+        else
+            bound(gateway_.door_.rules().idle_for, Objection::none);
+    }
+    answered_.fire();
+}
+
+net::Task<bool> Visit::room() {
+    const auto self = shared_from_this();
+    co_await outbox_->below(gateway_.charter_.lines.stream_ahead);
+    co_return !outbox_->broken();
+}
+
+void Visit::say_plain(unsigned status, std::string_view type, std::string body) {
+    http::HeadWriter head(http::status_line(status));
+    head.add("Content-Type", type).add("Content-Length", static_cast<std::int64_t>(body.size()));
+    const bool last = !keep_ || gateway_.door_.closing();
+    if (last) head.add("Connection", "close");
+    outbox_->send(head.done(), std::make_shared<const std::string>(std::move(body)));
+    if (last) bow_out();
+}
+
+// What the door objects to was never taken: it may be tried again wherever the objection lets it.
+void Visit::object(Objection objection) {
+    gateway_.door_.count(objection);
+    const Told& words = told(objection);
+    gateway_.log_.line(Log::Level::info, "turned_back_at_door", {{"objection", words.word}});
+    std::string body = std::string(words.text) + "\n";
+    http::HeadWriter head(http::status_line(static_cast<unsigned>(words.status)));
+    head.add(field::objection, words.word);
+    if (words.come_back) {
+        head.add(field::outcome, "bounced");
+        const Time pause = gateway_.door_.retry_after();
+        head.add("Retry-After", (pause + 1s - Time(1)) / 1s).add(field::retry_after_ms, pause / 1ms);
+    }
+    head.add("Content-Type", "text/plain").add("Content-Length", static_cast<std::int64_t>(body.size()));
+    head.add("Connection", "close");  // what may still come of this one is not read
+    outbox_->send(head.done(), std::make_shared<const std::string>(std::move(body)));
+    bow_out();
+}
+
+// A client that takes nothing of what waits for it is let go, so that it holds no memory.
+void Visit::watch_reading() {
+    if (reading_.second || outbox_->pending() == 0) return;
+    sent_then_ = outbox_->sent();
+    reading_ = world().at(world().now() + gateway_.door_.rules().unread_for, [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self) return;
+        self->reading_ = {};
+        if (self->outbox_->pending() > 0 && self->outbox_->sent() == self->sent_then_) {
+            self->gateway_.door_.count(Objection::unread_answer);
+            self->stream_->reset();
+            self->outbox_->abandon();
+        } else {
+            self->watch_reading();
+        }
+    });
+}
+
+// Should the coming read take longer, the visit ends; with the objection, if there is one to tell.
+void Visit::bound(Time within, Objection otherwise) {
+    unbound();
+    limit_ = world().at(world().now() + within, [weak = weak_from_this(), otherwise] {
+        const auto self = weak.lock();
+        if (!self) return;
+        self->limit_ = {};
+        if (otherwise == Objection::none)
+            self->stream_->close();
+        else
+            self->object(otherwise);
+    });
+}
+
+void Visit::bow_out() {
+    if (std::exchange(leaving_, true)) return;
+    auto farewell = [](std::shared_ptr<Visit> self) -> net::Task<> {
+        co_await self->outbox_->below(0);
+        self->stream_->end_sending();
+        co_await self->world().sleep(lingering);
+        self->stream_->close();
+    };
+    world().spawn(farewell(shared_from_this()));
+}
+
+void Visit::go_if_idle() {
+    if (!ward_ && !leaving_ && inbox_.held() == 0) bow_out();
+}
+
+}  // namespace plumkeel::gateway
--- /dev/null
+++ b/src/gateway/visit.hpp
@@ -0,0 +1,53 @@
+// One client's connection: reads jobs one after another, hands them to the gateway and sends their answers.
+#pragma once
+
+#include "gateway/gateway.hpp"
+
+namespace plumkeel::gateway {
+
+class Visit : public std::enable_shared_from_this<Visit> {
+public:
+    Visit(Gateway& gateway, std::shared_ptr<net::Stream> stream);
+    void start();
+
+    // The job's final answer, whole.
+    void say(unsigned status, std::string_view outcome, const Ward& ward, std::string_view passed,
+             std::string body);
+    // An answer that streams: its head, its parts, its end; cut where the rest can't come.
+    void begin(unsigned status, const Ward& ward, std::string_view passed);
+    void part(std::string bytes);
+    void end(bool whole);
+    net::Task<bool> room();
+    // No job is open here: it goes now, as the controller takes no more.
+    void go_if_idle();
+    bool busy() const { return ward_ != nullptr || (outbox_->pending() > 0 && !outbox_->broken()); }
+
+private:
+    using Parser = http::bh::request_parser<http::bh::string_body>;
+
+    net::Task<> live(std::shared_ptr<Visit> self);
+    net::Task<bool> one_job();
+    net::Task<Objection> read_head(Parser& parser, bool& nobody);
+    net::Task<Objection> read_body(Parser& parser, bool& nobody);
+    net::Task<bool> await_answer();
+    Objection understand(const Parser& parser, Wanted& wanted) const;
+    void say_plain(unsigned status, std::string_view type, std::string body);
+    void object(Objection objection);
+    void watch_reading();
+    void bound(Time within, Objection otherwise);
+    void unbound() { world().drop(limit_); }
+    void bow_out();
+    net::World& world() const;
+
+    Gateway& gateway_;
+    std::shared_ptr<net::Stream> stream_;
+    std::shared_ptr<net::Outbox> outbox_;
+    http::Inbox inbox_;
+    Ward* ward_{};  // the open job
+    net::Signal answered_;
+    net::World::Ticket limit_{}, reading_{};
+    std::size_t sent_then_{};
+    bool keep_{}, leaving_{}, chunked_{};
+};
+
+}  // namespace plumkeel::gateway
--- /dev/null
+++ b/src/http/exchange.cpp
@@ -0,0 +1,43 @@
+#include "http/exchange.hpp"
+
+#include "net/outbox.hpp"
+
+namespace plumkeel::http {
+
+net::Task<Exchanged> exchange(net::World& world, net::Address to, std::string head, std::string body,
+                              std::chrono::microseconds limit, std::size_t most) {
+    const auto until = world.now() + limit;
+    const auto connected = co_await world.connect(std::move(to), std::min<net::Time>(limit, std::chrono::seconds(2)));
+    if (connected.error) co_return Exchanged{connected.error, {}};
+    const auto stream = connected.stream;
+    bool late = false;
+    auto ticket = world.at(until, [&late, stream] {
+        late = true;
+        stream->close();
+    });
+    const auto outbox = std::make_shared<net::Outbox>(world, stream);
+    outbox->send(std::move(head), std::make_shared<const std::string>(std::move(body)));
+    Inbox inbox(stream, 256 * 1024);
+    bh::response_parser<bh::string_body> parser;
+    parser.eager(true);
+    parser.body_limit(most);
+    net::Error error;
+    while (!parser.is_done() && !error) {
+        error = co_await inbox.more();
+        if (error == net::asio::error::eof) {
+            error = {};
+            if (parser.got_some()) parser.put_eof(error);
+            if (!error && !parser.is_done()) error = net::asio::error::eof;
+        } else if (!error) {
+            error = inbox.feed(parser);
+        }
+    }
+    world.drop(ticket);
+    outbox->abandon();
+    stream->close();
+    if (late) error = net::asio::error::timed_out;
+    if (error) co_return Exchanged{error, {}};
+    co_return Exchanged{{}, parser.release()};
+}
+
+}  // namespace plumkeel::http
--- /dev/null
+++ b/src/http/exchange.hpp
@@ -0,0 +1,18 @@
+// One question and its whole answer on a connection of its own.
+#pragma once
+
+#include <string>
+
+#include "http/http.hpp"
+
+namespace plumkeel::http {
+
+struct Exchanged {
+    net::Error error;  // no whole answer came
+    bh::response<bh::string_body> answer;
+};
+
+net::Task<Exchanged> exchange(net::World& world, net::Address to, std::string head, std::string body,
+                              std::chrono::microseconds limit, std::size_t most = 64 * 1024 * 1024);
+
+}  // namespace plumkeel::http
--- /dev/null
+++ b/src/net/memory.hpp
@@ -0,0 +1,43 @@
+// A world in virtual time, over streams in memory. Nothing in it waits for the machine: when no coroutine can
+// go on, its clock steps to the next due time.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <set>
+
+#include "net/world.hpp"
+
+namespace plumkeel::net {
+
+class MemoryListener;
+
+class MemoryWorld : public World {
+public:
+    explicit MemoryWorld(Time latency = Time(100), std::size_t room = 64 * 1024);
+    ~MemoryWorld() override;
+
+    Time now() const override { return now_; }
+    Time wall() const override { return now_; }
+    asio::any_io_executor executor() override { return context_.get_executor(); }
+    Task<Connected> connect(Address to, Time limit) override;
+    Listened listen(const Address& at) override;
+
+    // Runs until virtual time `until`, or until nothing is left that could happen.
+    void run(Time until = Time::max());
+    Time latency() const { return latency_; }
+    std::size_t room() const { return room_; }
+
+private:
+    friend class MemoryListener;
+    void arm(Time) override {}
+
+    asio::io_context context_{1};
+    const Time latency_;
+    const std::size_t room_;  // bytes under way one way of a stream
+    Time now_{};
+    std::map<std::string, MemoryListener*> listeners_;
+    std::uint16_t next_port_ = 40000;
+};
+
+}  // namespace plumkeel::net
--- /dev/null
+++ b/src/net/outbox.cpp
@@ -0,0 +1,77 @@
+#include "net/outbox.hpp"
+
+#include <array>
+
+namespace plumkeel::net {
+
+Outbox::Outbox(World& world, std::shared_ptr<Stream> stream)
+    : world_(world), stream_(std::move(stream)), room_(world) {}
+
+void Outbox::send(std::string head, Text body) {
+    if (broken_) return;
+    pending_ += head.size();
+    queue_.push_back(std::make_shared<const std::string>(std::move(head)));
+    if (body && !body->empty()) {
+        pending_ += body->size();
+        queue_.push_back(std::move(body));
+    }
+    if (!pumping_) flush();
+    if (!queue_.empty() && !pumping_ && !broken_) {
+        pumping_ = true;
+        world_.spawn(pump(shared_from_this()));
+    }
+}
+
+void Outbox::flush() {
+    while (!queue_.empty() && !broken_) {
+        std::array<asio::const_buffer, 8> parts;
+        std::size_t count = 0;
+        for (const Text& text : queue_) {
+            if (count == parts.size()) break;
+            parts[count++] = asio::buffer(*text);
+        }
+        parts[0] += offset_;
+        const Moved moved = stream_->write_now({parts.data(), count});
+        if (moved.error) {
+            broken_ = moved.error;
+            abandon();
+            return;
+        }
+        if (moved.bytes == 0) return;
+        sent_ += moved.bytes;
+        pending_ -= moved.bytes;
+        offset_ += moved.bytes;
+        while (!queue_.empty() && offset_ >= queue_.front()->size()) {
+            offset_ -= queue_.front()->size();
+            queue_.pop_front();
+        }
+    }
+}
+
+Task<> Outbox::pump(std::shared_ptr<Outbox>) {
+    while (!queue_.empty() && !broken_) {
+        const Error error = co_await stream_->writable();
+        if (error) {
+            broken_ = error;
+            abandon();
+            break;
+        }
+        flush();
+        room_.fire();
+    }
+    pumping_ = false;
+    room_.fire();
+}
+
+Task<> Outbox::below(std::size_t bytes) {
+    while (pending_ > bytes && !broken_) co_await room_.wait();
+}
+
+void Outbox::abandon() {
+    if (!broken_) broken_ = asio::error::operation_aborted;
+    queue_.clear();
+    pending_ = offset_ = 0;
+    room_.fire();
+}
+
+}  // namespace plumkeel::net
--- /dev/null
+++ b/src/net/real.cpp
@@ -0,0 +1,230 @@
+#include "net/real.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace plumkeel::net {
+namespace {
+
+using asio::ip::tcp;
+constexpr auto told = asio::as_tuple(asio::use_awaitable);
+
+class SocketStream : public Stream {
+public:
+    explicit SocketStream(tcp::socket socket) : socket_(std::move(socket)) {
+        Error ignored;
+        socket_.set_option(tcp::no_delay(true), ignored);
+        socket_.non_blocking(true, ignored);
+    }
+
+    Task<Moved> read(asio::mutable_buffer into) override {
+        const auto [error, bytes] = co_await socket_.async_read_some(into, told);
+        co_return Moved{error, bytes};
+    }
+
+    Moved write_now(std::span<const asio::const_buffer> from) override {
+        Moved moved;
+        moved.bytes = socket_.write_some(from, moved.error);
+        if (moved.error == asio::error::would_block || moved.error == asio::error::try_again) moved.error = {};
+        return moved;
+    }
+
+    Task<Error> writable() override {
+        const auto [error] = co_await socket_.async_wait(tcp::socket::wait_write, told);
+        co_return error;
+    }
+
+    bool ended() override {
+        char byte;
+        const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    }
+
+    void end_sending() override {
+        Error ignored;
+        socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    void close() override {
+        Error ignored;
+        socket_.close(ignored);
+    }
+
+    void reset() override {
+        Error ignored;
+        socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket_.close(ignored);
+    }
+
+private:
+    tcp::socket socket_;
+};
+
+class SocketListener : public Listener {
+public:
+    explicit SocketListener(tcp::acceptor acceptor) : acceptor_(std::move(acceptor)) {}
+
+    Task<Accepted> accept() override {
+        auto [error, socket] = co_await acceptor_.async_accept(told);
+        if (error) co_return Accepted{error, nullptr};
+        co_return Accepted{{}, std::make_shared<SocketStream>(std::move(socket))};
+    }
+
+    Address address() const override {
+        Error error;
+        const auto end = acceptor_.local_endpoint(error);
+        return {end.address().to_string(), end.port()};
+    }
+
+    void close() override {
+        Error ignored;
+        acceptor_.close(ignored);
+    }
+
+private:
+    tcp::acceptor acceptor_;
+};
+
+}  // namespace
+
+RealWorld::RealWorld() : start_(std::chrono::steady_clock::now()) {}
+
+RealWorld::~RealWorld() {
+    end_due();
+}
+
+Time RealWorld::now() const {
+    return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now() - start_);
+}
+
+Time RealWorld::wall() const {
+    return std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+Task<World::Connected> RealWorld::connect(Address to, Time limit) {
+    Error error;
+    const auto address = asio::ip::make_address(to.host, error);
+    if (error) co_return Connected{error, nullptr};
+    auto socket = std::make_shared<tcp::socket>(context_);
+    bool late = false;
+    Ticket ticket = at(now() + limit, [&late, socket] {
+        late = true;
+        Error ignored;
+        socket->close(ignored);
+    });
+    const auto [failed] = co_await socket->async_connect({address, to.port}, told);
+    drop(ticket);
+    if (late) co_return Connected{asio::error::timed_out, nullptr};
+    if (failed) co_return Connected{failed, nullptr};
+    co_return Connected{{}, std::make_shared<SocketStream>(std::move(*socket))};
+}
+
+World::Listened RealWorld::listen(const Address& at) {
+    Listened out;
+    const auto address = asio::ip::make_address(at.host, out.error);
+    if (out.error) return out;
+    const tcp::endpoint end(address, at.port);
+    tcp::acceptor acceptor(context_);
+    acceptor.open(end.protocol(), out.error);
+    // A restart takes the port at once, although connections of the earlier process still linger.
+    if (!out.error) acceptor.set_option(tcp::acceptor::reuse_address(true), out.error);
+    if (!out.error) acceptor.bind(end, out.error);
+    if (!out.error) acceptor.listen(asio::socket_base::max_listen_connections, out.error);
+    if (!out.error) out.listener = std::make_shared<SocketListener>(std::move(acceptor));
+    return out;
+}
+
+void RealWorld::run() {
+    context_.run();
+}
+
+void RealWorld::stop() {
+    context_.stop();
+}
+
+void RealWorld::arm(Time when) {
+    timer_.expires_at(start_ + when);
+    timer_.async_wait([this](Error error) {
+        if (error) return;  // armed anew for something earlier
+        if (const Time next = run_due(now()); next != Time::max()) arm(next);
+    });
+}
+
+void RealWorld::on_end_signal(std::function<void()> what) {
+    spawn(watch_signals(std::move(what)));
+}
+
+Task<> RealWorld::watch_signals(std::function<void()> what) {
+    asio::signal_set signals(context_, SIGTERM, SIGINT);
+    for (;;) {
+        const auto [error, number] = co_await signals.async_wait(told);
+        if (error) co_return;
+        what();
+    }
+}
+
+void RealWorld::on_input_line(std::function<void(std::optional<std::string>)> what) {
+    spawn(read_input(std::move(what)));
+}
+
+Task<> RealWorld::read_input(std::function<void(std::optional<std::string>)> what) {
+    asio::posix::stream_descriptor input(context_, ::dup(STDIN_FILENO));
+    std::string text;
+    for (;;) {
+        const auto [error, bytes] =
+            co_await asio::async_read_until(input, asio::dynamic_buffer(text, 1 << 16), '\n', told);
+        if (error) break;
+        what(text.substr(0, bytes - 1));
+        text.erase(0, bytes);
+    }
+    what(std::nullopt);
+}
+
+std::string holder_of(std::uint16_t port) {
+    namespace fs = std::filesystem;
+    std::string inode;
+    for (const char* table : {"/proc/net/tcp", "/proc/net/tcp6"}) {
+        std::ifstream in(table);
+        for (std::string line; std::getline(in, line);) {
+            std::istringstream words(line);
+            const std::vector<std::string> all{std::istream_iterator<std::string>(words), {}};
+            if (all.size() < 10 || all[3] != "0A") continue;  // 0A: it listens
+            const auto colon = all[1].rfind(':');
+            if (std::stoul(all[1].substr(colon + 1), nullptr, 16) == port) inode = "socket:[" + all[9] + "]";
+        }
+    }
+    if (inode.empty()) return {};
+    Error ignored;
+    for (const auto& process : fs::directory_iterator("/proc", ignored)) {
+        const std::string pid = process.path().filename();
+        if (pid.find_first_not_of("0123456789") != std::string::npos) continue;
+        std::error_code error;
+        for (fs::directory_iterator it(process.path() / "fd", error), end; !error && it != end;
+             it.increment(error)) {
+            if (fs::read_symlink(it->path(), error) != inode) {
+                error.clear();
+                continue;
+            }
+            std::string name;
+            std::getline(std::ifstream(process.path() / "comm"), name);
+            return "pid " + pid + " (" + name + ")";
+        }
+    }
+    return {};
+}
+
+Time common_clock() {
+    return std::chrono::duration_cast<Time>(std::chrono::steady_clock::now().time_since_epoch());
+}
+
+}  // namespace plumkeel::net
--- /dev/null
+++ b/src/net/real.hpp
@@ -0,0 +1,45 @@
+// The world of sockets and the machine's clock, on one thread.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string>
+
+#include "net/world.hpp"
+
+namespace plumkeel::net {
+
+class RealWorld : public World {
+public:
+    RealWorld();
+    ~RealWorld() override;
+    Time now() const override;
+    Time wall() const override;
+    asio::any_io_executor executor() override { return context_.get_executor(); }
+    Task<Connected> connect(Address to, Time limit) override;
+    Listened listen(const Address& at) override;
+
+    void run();   // until stop() or nothing is left to do
+    void stop();  // what still waits is destroyed with the world
+    // Tells of SIGTERM and SIGINT, each time.
+    void on_end_signal(std::function<void()> what);
+    // Feeds lines of the standard input; an empty optional at its end.
+    void on_input_line(std::function<void(std::optional<std::string>)> what);
+
+private:
+    void arm(Time when) override;
+    Task<> read_input(std::function<void(std::optional<std::string>)> what);
+    Task<> watch_signals(std::function<void()> what);
+
+    asio::io_context context_{1};
+    asio::steady_timer timer_{context_};
+    const std::chrono::steady_clock::time_point start_;
+};
+
+// Which process listens on the port: "pid 123 (plumkeel)", or empty where that can't be seen.
+std::string holder_of(std::uint16_t port);
+
+// The machine's monotonic clock, shared by all processes on it: for records that are laid side by side.
+Time common_clock();
+
+}  // namespace plumkeel::net
