--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -202,7 +202,7 @@
     ward.visit = nullptr;
     feed([&](Controller& it, Time now) { return it.client_left(now, ward); });
     count(ward);
-    drop_if_closed(ward);
+    let_on(ward);
 }
 
 bool Gateway::hop_begins(HopErrand& errand, const http::AnswerHead& head) {
@@ -232,6 +232,7 @@
         log_.line(Log::Level::debug, "hop_ended",
                   {{"job", ward.id}, {"hop", errand.hop.number}, {"invoker", errand.hop.invoker->name},
                    {"ending", static_cast<int>(outcome.ending)}, {"late", late}});
+    const std::uint64_t id = ward.id;
     // The client's answer leaves before what the end of the hop sets going.
     feed([&](Controller& it, Time now) {
         Results results = it.hop_ended(now, errand.hop, outcome.ending, outcome.note, outcome.company, outcome.report);
@@ -248,11 +249,18 @@
         }
         return results;
     });
-    for (const auto& other : ward.errands)
-        if (other->held_back) {
-            const Outcome then = *std::exchange(other->held_back, std::nullopt);
+    // An answer that the module gave by itself may have closed the job meanwhile.
+    if (jobs_.count(id)) let_on(ward);
+}
+
+// Tells the module of the ends that were held back behind a streaming answer, and lets a closed job go.
+void Gateway::let_on(Ward& ward) {
+    const auto errands = ward.errands;
+    for (const auto& errand : errands)
+        if (ward.answered() && errand->held_back) {
+            const Outcome then = *std::exchange(errand->held_back, std::nullopt);
             feed([&](Controller& it, Time now) {
-                return it.hop_ended(now, other->hop, then.ending, then.note, then.company, then.report);
+                return it.hop_ended(now, errand->hop, then.ending, then.note, then.company, then.report);
             });
         }
     drop_if_closed(ward);
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -84,6 +84,7 @@
     void send_order(const CopyOrder& order);
     void answer(Ward& ward);
     void count(const Ward& ward);
+    void let_on(Ward& ward);
     void drop_if_closed(Ward& ward);
     void visit_gone(const std::shared_ptr<Visit>& visit);
     void see_whether_done();
--- a/src/gateway/visit.cpp
+++ b/src/gateway/visit.cpp
@@ -198,7 +198,8 @@
 void Visit::say(unsigned status, std::string_view outcome, const Ward& ward, std::string_view passed,
                 std::string body) {
     http::HeadWriter head(http::status_line(status));
-    head.add(field::outcome, outcome).add(field::job, static_cast<std::int64_t>(ward.id));
+    head.add(field::outcome, outcome).add(field::controller, gateway_.incarnation_)
+        .add(field::job, static_cast<std::int64_t>(ward.id));
     head.add(field::hops, static_cast<std::int64_t>(ward.hops.size()));
     if (ward.state == JobState::bounced && ward.retry_after > Time{}) {
         head.add("Retry-After", (ward.retry_after + 1s - Time(1)) / 1s);
@@ -219,7 +220,8 @@
 
 void Visit::begin(unsigned status, const Ward& ward, std::string_view passed) {
     http::HeadWriter head(http::status_line(status));
-    head.add(field::outcome, "honoured").add(field::job, static_cast<std::int64_t>(ward.id));
+    head.add(field::outcome, "honoured").add(field::controller, gateway_.incarnation_)
+        .add(field::job, static_cast<std::int64_t>(ward.id));
     head.add(field::hops, static_cast<std::int64_t>(ward.hops.size())).lines(passed);
     if (chunked_)
         head.add("Transfer-Encoding", "chunked");
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -42,6 +42,8 @@
     logger_->set_pattern("%v");
     logger_->set_level(spdlog::level::trace);
     logger_->flush_on(spdlog::level::warn);
+    spdlog::register_logger(logger_);
+    spdlog::flush_every(std::chrono::seconds(1));
 }
 
 Log::~Log() {
--- /dev/null
+++ b/stand/clients.cpp
@@ -0,0 +1,250 @@
+// Clients: open-loop arrivals over uneven favourites and tenants, with retries, impatience and expiries.
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+#include "charter/reader.hpp"
+#include "gateway/protocol.hpp"
+#include "http/exchange.hpp"
+#include "stand/common.hpp"
+
+namespace plumkeel::stand {
+namespace {
+
+namespace field = protocol::field;
+
+struct UseCase {
+    std::string name, repeat = "replayable";
+    double share = 1, work_ms = 100, load_ms = 300;
+    Time expiry = 4s, promised = 1500ms;
+    int lanes = 2, memory = 300;
+};
+
+struct Tenant {
+    std::string name;
+    double share = 1, boost = 1;
+};
+
+struct Job {
+    const UseCase* use;
+    std::string tenant, function, origin;
+    double work_ms{};
+    Time born{};
+    int tries{};
+    std::size_t bytes_back{};
+};
+
+class Clients {
+public:
+    Clients(const std::string& file, const std::string& record) : record_(record), chance_(1) {
+        const auto settings = evaluate(file);
+        Reader in(settings, file);
+        std::size_t seed = 1;
+        in.read("seed", seed);
+        in.need("rate", rate_);
+        in.read("functions", functions_, 1);
+        in.read("zipf", zipf_);
+        in.read("retries", retries_);
+        in.read("again_after", again_after_);
+        in.read("impatient", impatient_);
+        in.read("try_share", try_share_);
+        in.read("large_share", large_share_);
+        in.read("work_sigma", work_sigma_);
+        if (const auto* list = in.raw("controllers"))
+            for (const auto& each : list->as_array()) controllers_.push_back(*net::Address::parse(std::string(each.as_string())));
+        in.members("use_cases", [&](const std::string& name, Reader& part) {
+            UseCase use;
+            use.name = name;
+            part.read("repeat", use.repeat);
+            part.read("share", use.share);
+            part.read("work_ms", use.work_ms);
+            part.read("load_ms", use.load_ms);
+            part.read("expiry", use.expiry);
+            part.read("promised", use.promised);
+            part.read("lanes", use.lanes);
+            part.read("memory", use.memory);
+            use_cases_.push_back(use);
+        });
+        in.members("tenants", [&](const std::string& name, Reader& part) {
+            Tenant tenant{name};
+            part.read("share", tenant.share);
+            tenants_.push_back(tenant);
+        });
+        in.finish();
+        chance_ = Chance(seed);
+        double sum = 0;
+        for (std::size_t i = 0; i < functions_; ++i) weights_.push_back(sum += std::pow(static_cast<double>(i + 1), -zipf_));
+        Commands(world_, [this](const auto& words, const auto& options) { command(words, options); });
+        watch_lag(world_, record_);
+    }
+    int run() {
+        world_.run();
+        return 0;
+    }
+
+private:
+    // start ; stop ; rate factor= ; tenant NAME factor= ; favourite share= count= ; scan share= ;
+    // heavy share= factor= ; at_once on|off (retries without a wait)
+    void command(const Commands::Words& words, const Commands::Options& options) {
+        const std::string& verb = words[0];
+        if (verb == "start" && !std::exchange(on_, true)) world_.spawn(arrivals());
+        if (verb == "stop") on_ = false;
+        if (verb == "rate") factor_ = Commands::figure(options, "factor", 1);
+        if (verb == "tenant")
+            for (Tenant& tenant : tenants_)
+                if (tenant.name == words.at(1)) tenant.boost = Commands::figure(options, "factor", 1);
+        if (verb == "favourite") {
+            favourite_ = Commands::figure(options, "share", 0);
+            favourites_ = std::max(1.0, Commands::figure(options, "count", 1));
+            ++spell_;
+        }
+        if (verb == "scan") scan_ = Commands::figure(options, "share", 0);
+        if (verb == "heavy") {
+            heavy_ = Commands::figure(options, "share", 0);
+            heavy_factor_ = Commands::figure(options, "factor", 10);
+        }
+        if (verb == "at_once") at_once_ = words.at(1) == "on";
+    }
+
+    net::Task<> arrivals() {
+        Time next = world_.now();
+        while (on_) {
+            double boost = 0, whole = 0;
+            for (const Tenant& tenant : tenants_) {
+                boost += tenant.share * tenant.boost;
+                whole += tenant.share;
+            }
+            const double rate = rate_ * factor_ * (whole > 0 ? boost / whole : 1);
+            next += Time(static_cast<Time::rep>(1e6 * chance_.exponential(1 / rate)));
+            if (next > world_.now()) co_await world_.sleep(next - world_.now());
+            if (on_) born();
+        }
+    }
+
+    template <class Items, class Weight>
+    auto& pick(Items& items, Weight weight) {
+        double sum = 0;
+        for (auto& each : items) sum += weight(each);
+        double at = chance_.next() * sum;
+        for (auto& each : items)
+            if ((at -= weight(each)) < 0) return each;
+        return items.back();
+    }
+
+    void born() {
+        auto job = std::make_shared<Job>();
+        job->use = &pick(use_cases_, [](const UseCase& u) { return u.share; });
+        if (!tenants_.empty()) job->tenant = pick(tenants_, [](const Tenant& t) { return t.share * t.boost; }).name;
+        const double draw = chance_.next();
+        if (draw < scan_) {
+            job->function = fmt::format("{}-once-{}", job->use->name, ++once_);
+        } else if (draw < scan_ + favourite_) {
+            job->function = fmt::format("{}-new-{}-{}", job->use->name, spell_, static_cast<int>(chance_.next() * favourites_));
+        } else {
+            const auto at = std::lower_bound(weights_.begin(), weights_.end(), chance_.next() * weights_.back());
+            job->function = fmt::format("{}-f{}", job->use->name, at - weights_.begin());
+        }
+        job->work_ms = chance_.lognormal(job->use->work_ms, work_sigma_);
+        if (chance_.next() < heavy_) job->work_ms *= heavy_factor_;
+        if (chance_.next() < large_share_) job->bytes_back = 200'000;
+        job->origin = fmt::format("o{}", ++origins_);
+        job->born = world_.now();
+        world_.spawn(life(job));
+    }
+
+    net::Task<> life(std::shared_ptr<Job> job) {
+        ++open_;
+        for (;;) {
+            const Time left_of_all = job->born + job->use->expiry - world_.now();
+            const Time left = std::min(left_of_all, Time(static_cast<Time::rep>(static_cast<double>(job->use->expiry.count()) * try_share_)));
+            if (left < 50ms) break;
+            const Tried tried = co_await one_try(*job, left);
+            const std::string& outcome = tried.outcome;
+            ++job->tries;
+            if (outcome == "honoured" || job->tries > retries_) break;
+            const bool told_harmless = outcome == "bounced" || outcome == "unreachable";
+            if (!told_harmless && job->use->repeat != "replayable") break;
+            Time pause = again_after_;
+            if (told_harmless) pause = std::max(pause, tried.pause);
+            if (!at_once_) co_await world_.sleep(pause);
+        }
+        if (--open_ == 0 && !on_) record_.write("quiet", {});
+    }
+
+    struct Tried {
+        std::string outcome;
+        Time pause{};  // the controller asked to stay away for so long
+    };
+    net::Task<Tried> one_try(const Job& job, Time left) {
+        const std::uint64_t id = ++tries_;
+        const std::size_t to = static_cast<std::size_t>(chance_.next() * static_cast<double>(controllers_.size()));
+        const net::Address address = controllers_[to];
+        std::string body = fmt::format("{} {:.1f} {:.1f} {}\n", job.origin, job.work_ms, job.use->load_ms, job.bytes_back);
+        http::HeadWriter head("POST /v1/jobs/" + http::encoded(job.function) + " HTTP/1.1");
+        head.add("Host", address.text()).add("Connection", "close").add(field::use_case, job.use->name);
+        head.add(field::time_left, left / 1ms).add(field::lanes, std::int64_t{job.use->lanes});
+        head.add(field::memory, std::int64_t{job.use->memory});
+        if (!job.tenant.empty()) head.add(field::tenant, job.tenant);
+        if (job.use->repeat == "referenced") head.add(field::mark, job.origin);
+        if (job.tries > 0) head.add(field::again, "1");
+        head.add("Content-Length", static_cast<std::int64_t>(body.size()));
+        // Some leave before the time that they told.
+        Time patience = left + 300ms;
+        const bool leaves = chance_.next() < impatient_;
+        if (leaves) patience = Time(static_cast<Time::rep>(static_cast<double>(left.count()) * chance_.next()));
+        record_.write("sent", {{"id", id}, {"origin", job.origin}, {"try", job.tries}, {"to", address.text()},
+                               {"use", job.use->name}, {"function", job.function}, {"tenant", job.tenant},
+                               {"left_us", left.count()}, {"promised_us", job.use->promised.count()}});
+        auto got = co_await http::exchange(world_, address, head.done(), std::move(body), patience);
+        std::string outcome;
+        Time pause{};
+        boost::json::object line{{"id", id}, {"origin", job.origin}};
+        if (!got.error) {
+            outcome = http::field(got.answer, field::outcome);
+            if (const auto objection = http::field(got.answer, field::objection); !objection.empty()) {
+                line["objection"] = objection;
+                if (outcome.empty()) outcome = "objected";
+            }
+            line["status"] = got.answer.result_int();
+            line["controller"] = http::field(got.answer, field::controller);
+            line["job"] = http::field(got.answer, field::job);
+            line["hops"] = http::field(got.answer, field::hops);
+            if (const auto ms = http::number<int>(http::field(got.answer, field::retry_after_ms)))
+                pause = std::chrono::milliseconds(*ms);
+        } else if (got.error == net::asio::error::connection_refused) {
+            outcome = "unreachable";
+        } else if (got.error == net::asio::error::timed_out) {
+            outcome = leaves ? "left" : "nothing";
+        } else {
+            outcome = "cut";
+            line["why"] = got.error.message();
+        }
+        line["outcome"] = outcome;
+        record_.write("answer", std::move(line));
+        co_return Tried{outcome, pause};
+    }
+
+    net::RealWorld world_;
+    Record record_;
+    Chance chance_;
+    std::vector<net::Address> controllers_;
+    std::vector<UseCase> use_cases_;
+    std::vector<Tenant> tenants_;
+    std::vector<double> weights_;
+    double rate_{}, zipf_ = 1.1, impatient_{}, try_share_ = 1, large_share_{}, work_sigma_ = 0.3;
+    double factor_ = 1, favourite_{}, favourites_ = 1, scan_{}, heavy_{}, heavy_factor_ = 10;
+    std::size_t functions_ = 40;
+    int retries_ = 1;
+    Time again_after_ = 200ms;
+    bool on_{}, at_once_{};
+    std::uint64_t tries_{}, origins_{}, once_{}, open_{}, spell_{};
+};
+
+}  // namespace
+
+int run_clients(const std::string& file, const std::string& record) {
+    return Clients(file, record).run();
+}
+
+}  // namespace plumkeel::stand
