--- a/src/gateway/visit.cpp
+++ b/src/gateway/visit.cpp
@@ -235,7 +235,8 @@
 void Visit::part(std::string bytes) {
     if (bytes.empty()) return;
     if (!chunked_) return outbox_->send(std::move(bytes));
-    outbox_->send(fmt::format("{:x}\r\n", bytes.size()), std::make_shared<const std::string>(std::move(bytes)));
+    std::string size = fmt::format("{:x}\r\n", bytes.size());
+    outbox_->send(std::move(size), std::make_shared<const std::string>(std::move(bytes)));
     outbox_->send("\r\n");
     watch_reading();
 }
