--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 
 #include "gateway/visit.hpp"
@@ -12,6 +13,8 @@
 using namespace std::chrono_literals;
 namespace field = protocol::field;
 
+constexpr int turned_back_at_once = 64;
+
 class HopErrand : public Errand {
 public:
     HopErrand(Gateway& gateway, Ward& of, Hop& as) : gateway_(gateway), ward(of), hop(as) {}
@@ -113,17 +116,7 @@
         const Objection objection = door_.connection_came();
         if (objection != Objection::none) {
             door_.count(objection);
-            const std::string head = http::HeadWriter(http::status_line(503))
-                                         .add(field::objection, told(objection).word)
-                                         .add(field::outcome, "bounced")
-                                         .add("Retry-After", "1")
-                                         .add("Connection", "close")
-                                         .add("Content-Length", "0")
-                                         .done();
-            const net::asio::const_buffer whole = net::asio::buffer(head);
-            accepted.stream->write_now({&whole, 1});
-            accepted.stream->end_sending();
-            accepted.stream->close();
+            world_.spawn(turn_back(std::move(accepted.stream), objection));
             continue;
         }
         const auto visit = std::make_shared<Visit>(*this, std::move(accepted.stream));
@@ -132,6 +125,35 @@
     }
 }
 
+// Tells a client that there is no room for its connection. What it sends is read and thrown away for a moment,
+// since a close with unread bytes resets the connection and may overtake what it is told; but only for a few
+// at a time, so that a flood of connections can't hold descriptors this way.
+net::Task<> Gateway::turn_back(std::shared_ptr<net::Stream> stream, Objection objection) {
+    const std::string head = http::HeadWriter(http::status_line(503))
+                                 .add(field::objection, told(objection).word)
+                                 .add(field::outcome, "bounced")
+                                 .add("Retry-After", "1")
+                                 .add("Connection", "close")
+                                 .add("Content-Length", "0")
+                                 .done();
+    const net::asio::const_buffer whole = net::asio::buffer(head);
+    stream->write_now({&whole, 1});
+    stream->end_sending();
+    if (turning_back_ < turned_back_at_once) {
+        ++turning_back_;
+        auto ticket = world_.at(world_.now() + 200ms, [stream] { stream->close(); });
+        std::array<char, 1024> thrown_away;
+        net::Error error;
+        while (!error) {
+            const net::Moved moved = co_await stream->read(net::asio::buffer(thrown_away));
+            error = moved.error;
+        }
+        world_.drop(ticket);
+        --turning_back_;
+    }
+    stream->close();
+}
+
 void Gateway::close(std::function<void()> then) {
     then_ = std::move(then);
     door_.close();
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -72,6 +72,7 @@
     friend class OrderErrand;
 
     net::Task<> accept();
+    net::Task<> turn_back(std::shared_ptr<net::Stream> stream, Objection objection);
     Ward* take(Wanted wanted, std::shared_ptr<Visit> visit);
     void client_left(Ward& ward);
     void hop_ended(HopErrand& errand, Outcome outcome);
@@ -113,6 +114,7 @@
     net::World::Ticket wake_{};
     Time wake_at_ = Time::max();
     bool feeding_{};
+    int turning_back_{};
     std::function<void()> then_;
 };
 
--- a/src/gateway/visit.cpp
+++ b/src/gateway/visit.cpp
@@ -117,7 +117,8 @@
         }
         if (const net::Error error = inbox_.feed(parser)) {
             unbound();
-            co_return error == bh::error::header_limit ? Objection::head_too_big : Objection::malformed;
+            if (error == bh::error::header_limit) co_return Objection::head_too_big;
+            co_return error == bh::error::body_limit ? Objection::body_too_big : Objection::malformed;
         }
     }
     unbound();
--- a/src/net/memory.hpp
+++ b/src/net/memory.hpp
@@ -32,12 +32,12 @@
     friend class MemoryListener;
     void arm(Time) override {}
 
-    asio::io_context context_{1};
     const Time latency_;
     const std::size_t room_;  // bytes under way one way of a stream
     Time now_{};
     std::map<std::string, MemoryListener*> listeners_;
     std::uint16_t next_port_ = 40000;
+    asio::io_context context_{1};  // ends first: the coroutines that end with it still use the rest
 };
 
 }  // namespace plumkeel::net
--- a/src/net/outbox.cpp
+++ b/src/net/outbox.cpp
@@ -9,8 +9,10 @@
 
 void Outbox::send(std::string head, Text body) {
     if (broken_) return;
-    pending_ += head.size();
-    queue_.push_back(std::make_shared<const std::string>(std::move(head)));
+    if (!head.empty()) {
+        pending_ += head.size();
+        queue_.push_back(std::make_shared<const std::string>(std::move(head)));
+    }
     if (body && !body->empty()) {
         pending_ += body->size();
         queue_.push_back(std::move(body));
--- a/stand/auditor.hpp
+++ b/stand/auditor.hpp
@@ -87,9 +87,10 @@
     const Stated stated_;
     std::vector<Event> events_;
     std::map<std::string, Job> jobs_;  // by controller/incarnation and number
-    std::map<std::string, std::vector<std::pair<std::int64_t, std::int64_t>>> lags_;
-    std::map<std::string, std::vector<std::int64_t>> deaths_;  // of controllers, by address
-    std::map<std::string, std::vector<std::pair<std::int64_t, std::int64_t>>> frozen_;
+    using Spans = std::map<std::string, std::vector<std::pair<std::int64_t, std::int64_t>>>;
+    Spans lags_;    // of stand-ins: when, and for how long
+    Spans deaths_;  // of controllers, by address: from the blow to when it was surely dead
+    Spans frozen_;
     Verdict verdict_;
 };
 
--- a/stand/day.cpp
+++ b/stand/day.cpp
@@ -241,8 +241,11 @@
             } else if (it.kind == "kill_controller") {
                 add(it.at, [=, this] {
                     say(who + " is killed");
+                    const Time before = net::common_clock();
                     controllers_.at(who)->kill();
-                    record_->write("controller_killed", {{"name", who}, {"address", address(controller_ports_.at(who))}});
+                    record_->write("controller_killed", {{"name", who},
+                                                         {"address", address(controller_ports_.at(who))},
+                                                         {"us", (net::common_clock() - before).count() + 1000}});
                 });
                 add(it.at + it.lasts, [=, this] { say(who + " is back"); start_controller(who); });
             } else if (it.kind == "freeze") {
