--- /dev/null
+++ b/bench/gateway_cost.cpp
@@ -0,0 +1,279 @@
+// What the gateway costs beside a bare pass-through of bytes on the same src/net code, in one run: jobs a second
+// on one core, added latency, and the memory of an open and of a parked job. The two are measured in turn.
+//
+// Every part is a process of its own: the subject on one core, the echoing invoker and the clients on others.
+#include <fmt/format.h>
+#include <sched.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <fstream>
+#include <functional>
+#include <iostream>
+
+#include "gateway/gateway.hpp"
+#include "net/real.hpp"
+
+namespace {
+
+using namespace plumkeel;
+using namespace std::chrono_literals;
+using net::Task;
+using net::Time;
+
+constexpr std::uint16_t invoker_port = 17501, gateway_port = 17502, proxy_port = 17503;
+
+void pin(int core) {
+    cpu_set_t set;
+    CPU_ZERO(&set);
+    CPU_SET(core % static_cast<int>(std::max(1L, sysconf(_SC_NPROCESSORS_ONLN))), &set);
+    sched_setaffinity(0, sizeof set, &set);
+}
+
+class Child {
+public:
+    Child(int core, const std::function<void()>& work) : pid_(fork()) {
+        if (pid_ == 0) {
+            pin(core);
+            work();
+            _exit(0);
+        }
+    }
+    ~Child() {
+        ::kill(pid_, SIGKILL);
+        ::waitpid(pid_, nullptr, 0);
+    }
+    Child(const Child&) = delete;
+    double resident_kb() const {
+        std::ifstream in("/proc/" + std::to_string(pid_) + "/statm");
+        double size = 0, resident = 0;
+        in >> size >> resident;
+        return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024;
+    }
+    double cpu_s() const {
+        std::ifstream in("/proc/" + std::to_string(pid_) + "/stat");
+        std::string skip;
+        double user = 0, system = 0;
+        for (int i = 0; i < 13; ++i) in >> skip;
+        in >> user >> system;
+        return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+    }
+
+private:
+    pid_t pid_;
+};
+
+void put(net::Stream& stream, std::string_view text) {
+    const net::asio::const_buffer whole = net::asio::buffer(text.data(), text.size());
+    stream.write_now({&whole, 1});
+}
+
+// Answers every message that ends a head and its body at once, or never.
+void echo(bool answers) {
+    net::RealWorld world;
+    const auto listener = world.listen({"127.0.0.1", invoker_port}).listener;
+    auto talk = [&](std::shared_ptr<net::Stream> stream) -> Task<> {
+        http::Inbox inbox(stream);
+        for (;;) {
+            http::bh::request_parser<http::bh::string_body> parser;
+            parser.eager(true);
+            net::Error error;
+            while (!parser.is_done() && !error) {
+                error = co_await inbox.more();
+                if (!error) error = inbox.feed(parser);
+            }
+            if (error) co_return;
+            if (answers || parser.get().method() == http::bh::verb::get)
+                put(*stream, "HTTP/1.1 200 OK\r\nplumkeel-note: stood-loaded\r\nplumkeel-company: 0\r\n"
+                             "endpoint-load-metrics: TEXT named_metrics.inflight=1\r\nContent-Length: 2\r\n\r\nok");
+        }
+    };
+    auto accept = [&]() -> Task<> {
+        for (;;) {
+            auto accepted = co_await listener->accept();
+            if (!accepted.error) world.spawn(talk(accepted.stream));
+        }
+    };
+    world.spawn(accept());
+    world.run();
+}
+
+// The baseline: bytes from the client to the invoker and back, nothing read in them.
+void proxy() {
+    net::RealWorld world;
+    const auto listener = world.listen({"127.0.0.1", proxy_port}).listener;
+    auto pump = [&](std::shared_ptr<net::Stream> from, std::shared_ptr<net::Stream> to) -> Task<> {
+        const auto outbox = std::make_shared<net::Outbox>(world, to);
+        std::vector<char> room(16 * 1024);
+        for (;;) {
+            const net::Moved moved = co_await from->read(net::asio::buffer(room));
+            if (moved.error) break;
+            outbox->send(std::string(room.data(), moved.bytes));
+            co_await outbox->below(64 * 1024);
+        }
+        to->close();
+    };
+    auto visit = [&](std::shared_ptr<net::Stream> client) -> Task<> {
+        const net::Address to{"127.0.0.1", invoker_port};
+        auto connected = co_await world.connect(to, 1s);
+        if (connected.error) co_return;
+        world.spawn(pump(client, connected.stream));
+        world.spawn(pump(connected.stream, client));
+    };
+    auto accept = [&]() -> Task<> {
+        for (;;) {
+            auto accepted = co_await listener->accept();
+            if (!accepted.error) world.spawn(visit(accepted.stream));
+        }
+    };
+    world.spawn(accept());
+    world.run();
+}
+
+void serve(bool with_invoker) {
+    net::RealWorld world;
+    Charter charter;
+    charter.listen = "127.0.0.1:" + std::to_string(gateway_port);
+    charter.log.file = "/dev/null";
+    charter.log.level = "warn";
+    charter.rulebook = {10s, 0.2, 2, 2s, 0s, 0, 0};
+    Allowances& may = charter.allowances;
+    may.call_off = may.probe = may.second_copies = may.retry_after = may.loads_on_demand = may.steady_units = true;
+    may.hops = 5;
+    may.controllers = 1;
+    may.longest_retry_after = 2s;
+    may.keep_alive = 10s;
+    may.tick = 5ms;
+    charter.lines.most = 20'000;
+    StatedUseCase& use = charter.use_cases["p"];
+    use.name = "p";
+    use.promised = 60s;
+    if (with_invoker) charter.list.fixed.push_back({"i", "127.0.0.1:" + std::to_string(invoker_port), "", "", 1, 0});
+    Log log(world, charter.log);
+    gateway::Gateway gateway(world, charter, log, 1);
+    if (gateway.open()) _exit(1);
+    world.run();
+}
+
+struct Figures {
+    double per_s{}, median_us{}, p99_us{}, cpu_us{};
+};
+
+// Closed-loop clients on kept connections; the middle of the run counts.
+Figures load(std::uint16_t port, int connections, Time length) {
+    net::RealWorld world;
+    const std::string text =
+        "POST /v1/jobs/f HTTP/1.1\r\nHost: x\r\nplumkeel-use-case: p\r\nplumkeel-time-left: 60000\r\n"
+        "plumkeel-lanes: 10000\r\nContent-Type: text/plain\r\nContent-Length: 20\r\n\r\n01234567890123456789";
+    std::vector<double> took;
+    const Time from = length / 4;
+    auto client = [&]() -> Task<> {
+        const net::Address to{"127.0.0.1", port};
+        auto connected = co_await world.connect(to, 2s);
+        if (connected.error) co_return;
+        http::Inbox inbox(connected.stream);
+        while (world.now() < length) {
+            const Time sent = world.now();
+            put(*connected.stream, text);
+            http::bh::response_parser<http::bh::string_body> parser;
+            parser.eager(true);
+            net::Error error;
+            while (!parser.is_done() && !error) {
+                error = co_await inbox.more();
+                if (!error) error = inbox.feed(parser);
+            }
+            if (error) co_return;
+            if (world.now() > from && parser.get().result_int() == 200)
+                took.push_back(static_cast<double>((world.now() - sent).count()));
+        }
+    };
+    for (int i = 0; i < connections; ++i) world.spawn(client());
+    world.at(length + 200ms, [&] { world.stop(); });
+    world.run();
+    if (took.empty()) return {};
+    std::sort(took.begin(), took.end());
+    return {static_cast<double>(took.size()) / std::chrono::duration<double>(length - from).count(),
+            took[took.size() / 2], took[took.size() * 99 / 100], 0};
+}
+
+// Memory of jobs that stay open: `count` of them, each on a connection of its own.
+double kb_a_job(bool with_invoker, int count) {
+    Child invoker(2, [] { echo(false); });
+    Child subject(1, [&] { serve(with_invoker); });
+    usleep(300'000);
+    double before = 0, after = 0;
+    net::RealWorld world;
+    std::vector<std::shared_ptr<net::Stream>> held;
+    auto run = [&]() -> Task<> {
+        const net::Address to{"127.0.0.1", gateway_port};
+        for (int i = 0; i < count; ++i) {
+            auto connected = co_await world.connect(to, 2s);
+            if (connected.error) continue;
+            held.push_back(connected.stream);
+        }
+        co_await world.sleep(300ms);
+        before = subject.resident_kb();
+        for (const auto& stream : held)
+            put(*stream, "POST /v1/jobs/f HTTP/1.1\r\nHost: x\r\nplumkeel-use-case: p\r\nplumkeel-time-left: 60000\r\n"
+                         "plumkeel-lanes: 10000\r\nContent-Length: 20\r\n\r\n01234567890123456789");
+        co_await world.sleep(1500ms);
+        after = subject.resident_kb();
+        world.stop();
+    };
+    world.spawn(run());
+    world.run();
+    return (after - before) / static_cast<double>(held.size());
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app("what the gateway costs beside a bare pass-through");
+    int rounds = 5, connections = 64;
+    double seconds = 3;
+    app.add_option("--rounds", rounds)->capture_default_str();
+    app.add_option("--connections", connections)->capture_default_str();
+    app.add_option("--seconds", seconds, "a measurement")->capture_default_str();
+    CLI11_PARSE(app, argc, argv);
+    const Time length(static_cast<Time::rep>(seconds * 1e6));
+    auto measure = [&](bool gateway, int at_once) {
+        Child invoker(2, [] { echo(true); });
+        Child subject(1, [&] { gateway ? serve(true) : proxy(); });
+        usleep(300'000);
+        Figures out;
+        int pipe_ends[2];
+        if (pipe(pipe_ends)) return out;
+        {
+            Child clients(3, [&] {
+                const Figures f = load(gateway ? gateway_port : proxy_port, at_once, length);
+                [[maybe_unused]] const auto n = write(pipe_ends[1], &f, sizeof f);
+            });
+            if (read(pipe_ends[0], &out, sizeof out) != sizeof out) out = {};
+            out.cpu_us = subject.cpu_s() * 1e6;
+        }
+        ::close(pipe_ends[0]);
+        ::close(pipe_ends[1]);
+        return out;
+    };
+    std::vector<double> ratios;
+    for (int i = 0; i < rounds; ++i) {
+        const Figures bare = measure(false, connections), full = measure(true, connections);
+        ratios.push_back(full.per_s / bare.per_s);
+        fmt::print("round {}: pass-through {:.0f} jobs/s (median {:.0f} us, p99 {:.0f}); gateway {:.0f} jobs/s (median {:.0f} us, "
+                   "p99 {:.0f}); ratio {:.2f}\n", i + 1, bare.per_s, bare.median_us, bare.p99_us, full.per_s, full.median_us,
+                   full.p99_us, ratios.back());
+        std::cout.flush();
+    }
+    const Figures bare = measure(false, 1), full = measure(true, 1);
+    fmt::print("one client: pass-through median {:.0f} us, p99 {:.0f}; gateway median {:.0f} us, p99 {:.0f}; added {:.0f} and {:.0f}\n",
+               bare.median_us, bare.p99_us, full.median_us, full.p99_us, full.median_us - bare.median_us, full.p99_us - bare.p99_us);
+    std::sort(ratios.begin(), ratios.end());
+    fmt::print("gateway's throughput, of the pass-through's: median {:.2f}, from {:.2f} to {:.2f}\n", ratios[ratios.size() / 2],
+               ratios.front(), ratios.back());
+    fmt::print("memory: an open job {:.1f} KB with its line to the invoker, a parked one {:.1f} KB (beside its connection)\n",
+               kb_a_job(true, 1000), kb_a_job(false, 1000));
+    return 0;
+}
