--- a/stand/day_plan.cpp
+++ b/stand/day_plan.cpp
@@ -68,6 +68,9 @@
     Time grace = 2s;
     in.read("drain_grace", grace);
     plan.stated.drain_grace = grace.count();
+    Time slack(plan.stated.slack);
+    in.read("slack", slack);
+    plan.stated.slack = slack.count();
     std::set<std::string> names = {"store", "list", "clients"};
     in.each("invokers", [&](Reader& part) {
         InvokerPlan& invoker = plan.invokers.emplace_back();
