--- a/bench/gateway_cost.cpp
+++ b/bench/gateway_cost.cpp
@@ -237,8 +237,17 @@
     app.add_option("--rounds", rounds)->capture_default_str();
     app.add_option("--connections", connections)->capture_default_str();
     app.add_option("--seconds", seconds, "a measurement")->capture_default_str();
+    int against = 0;
+    app.add_option("--against", against, "load this gateway's port only, with an echoing invoker on 17501: for profiles");
     CLI11_PARSE(app, argc, argv);
     const Time length(static_cast<Time::rep>(seconds * 1e6));
+    if (against) {
+        Child invoker(2, [] { echo(true); });
+        usleep(300'000);
+        const Figures f = load(static_cast<std::uint16_t>(against), connections, length);
+        fmt::print("{:.0f} jobs/s, median {:.0f} us\n", f.per_s, f.median_us);
+        return 0;
+    }
     auto measure = [&](bool gateway, int at_once) {
         Child invoker(2, [] { echo(true); });
         Child subject(1, [&] { gateway ? serve(true) : proxy(); });
@@ -265,14 +274,16 @@
         fmt::print("round {}: pass-through {:.0f} jobs/s (median {:.0f} us, p99 {:.0f}); gateway {:.0f} jobs/s (median {:.0f} us, "
                    "p99 {:.0f}); ratio {:.2f}\n", i + 1, bare.per_s, bare.median_us, bare.p99_us, full.per_s, full.median_us,
                    full.p99_us, ratios.back());
-        std::cout.flush();
+        std::fflush(stdout);  // what is buffered would be printed by each forked part too
     }
     const Figures bare = measure(false, 1), full = measure(true, 1);
     fmt::print("one client: pass-through median {:.0f} us, p99 {:.0f}; gateway median {:.0f} us, p99 {:.0f}; added {:.0f} and {:.0f}\n",
                bare.median_us, bare.p99_us, full.median_us, full.p99_us, full.median_us - bare.median_us, full.p99_us - bare.p99_us);
+    std::fflush(stdout);
     std::sort(ratios.begin(), ratios.end());
     fmt::print("gateway's throughput, of the pass-through's: median {:.2f}, from {:.2f} to {:.2f}\n", ratios[ratios.size() / 2],
                ratios.front(), ratios.back());
+    std::fflush(stdout);
     fmt::print("memory: an open job {:.1f} KB with its line to the invoker, a parked one {:.1f} KB (beside its connection)\n",
                kb_a_job(true, 1000), kb_a_job(false, 1000));
     return 0;
--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -710,17 +710,21 @@
     invoker.held = std::max(0.0, *report.held - report.queued.value_or(0));
     invoker.held_at = now_;
     // A report is old when it comes: what was sent and ended since it was measured is not in it.
-    invoker.out_then = static_cast<int>(invoker.out.size());
-    for (const auto& [at, change] : invoker.moves)
-        if (at + report_age > now_) invoker.out_then -= change;
+    invoker.out_then = static_cast<int>(invoker.out.size()) - moved(invoker, 0);
     const double others = std::max(0.0, *invoker.held - invoker.out_then);
     if (first) invoker.usual = crowd_ * invoker.units;
     invoker.usual += 0.3 * (others - invoker.usual);
 }
 
-void Controller::moved(Invoker& invoker, int change) {
-    invoker.moves.emplace_back(now_, change);
-    while (invoker.moves.front().first + report_age <= now_) invoker.moves.pop_front();
+// Notes what was sent or ended; returns the sum of it over the age of a report.
+int Controller::moved(Invoker& invoker, int change) {
+    if (change) invoker.moves.emplace_back(now_, change);
+    invoker.lately += change;
+    while (!invoker.moves.empty() && invoker.moves.front().first + report_age <= now_) {
+        invoker.lately -= invoker.moves.front().second;
+        invoker.moves.pop_front();
+    }
+    return invoker.lately;
 }
 
 void Controller::meet(Function& function) {
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -62,7 +62,7 @@
     double ratio_at(const Hop& hop) const;
     void learn_ratio(const Hop& hop, double took);
     void hear(Invoker& invoker, const Report& report);
-    void moved(Invoker& invoker, int change);
+    int moved(Invoker& invoker, int change);
     void probe(Invoker& invoker);
     void mistrust(Invoker& invoker, bool certain);
     void answered_well(Invoker& invoker);
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -192,6 +192,7 @@
     Time held_at{};
     int out_then{};                          // own hops out when the report was measured
     std::deque<std::pair<Time, int>> moves;  // lately sent and ended
+    int lately{};                            // the sum of these
     Time shun_until{}, no_room_until{};
 };
 
