--- a/stand/day.cpp
+++ b/stand/day.cpp
@@ -131,7 +131,7 @@
             Place& place = places_[invoker.name];
             place.plan = invoker;
             place.port = port();
-            start_invoker(place, false);
+            start_invoker(place, plan_.fresh);
         }
         json::array controllers;
         for (int i = 1; i <= plan_.controllers; ++i) {
--- a/stand/day.hpp
+++ b/stand/day.hpp
@@ -34,6 +34,7 @@
 struct DayPlan {
     Time length = std::chrono::seconds(20);
     int controllers = 3;
+    bool fresh{};  // all invokers have just started, and are cold
     std::vector<InvokerPlan> invokers;
     boost::json::object invoker_common, controller, clients, store;
     std::vector<Happening> happenings;
--- a/stand/day_plan.cpp
+++ b/stand/day_plan.cpp
@@ -61,6 +61,7 @@
     DayPlan plan;
     in.read("length", plan.length);
     in.read("controllers", plan.controllers, 1);
+    in.read("fresh", plan.fresh);
     plan.controller = object(in, "controller");
     plan.clients = object(in, "clients");
     plan.store = object(in, "store");
