--- /dev/null
+++ b/bench/trace_size.cpp
@@ -0,0 +1,73 @@
+// A million records to a file and back, by block size: bytes a record, compression, time to write, and to find a
+// moment and a job from a file just opened.
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
+
+#include "trace/file.hpp"
+
+int main(int argc, char** argv) {
+    using namespace plumkeel::trace;
+    using Clock = std::chrono::steady_clock;
+    const int count = argc > 1 ? std::atoi(argv[1]) : 1'000'000;
+    const std::string name = std::filesystem::temp_directory_path() / ("plumkeel-trace-" + std::to_string(::getpid()));
+    auto ms = [](Clock::time_point from) { return std::chrono::duration<double, std::milli>(Clock::now() - from).count(); };
+    auto record_of = [](int i) {  // a job's story: taken, hop started, hop ended, answered
+        const std::uint64_t job = 1 + static_cast<std::uint64_t>(i) / 4;
+        std::uint64_t dice = job * 6364136223846793005ULL + static_cast<std::uint64_t>(i);
+        dice = (dice ^ (dice >> 29)) * 0xbf58476d1ce4e5b9ULL;
+        return Record{Time(std::int64_t{i} * 50 + static_cast<std::int64_t>(dice % 40)), static_cast<std::uint8_t>(i % 4), job,
+                      fmt::format("function-{}\tinvoker-{}\t{}\t{}", dice % 997 % 300, dice % 31, dice % 4000, (dice >> 20) % 100)};
+    };
+    fmt::print("{:>10} {:>12} {:>8} {:>7} {:>10} {:>12} {:>10} {:>8}\n", "block", "bytes/record", "ratio", "blocks", "write ms",
+               "find time ms", "find job ms", "exact");
+    for (const std::size_t block : {16u << 10, 64u << 10, 256u << 10, 1024u << 10, 4096u << 10}) {
+        std::filesystem::remove(name);
+        const auto began = Clock::now();
+        std::uint64_t raw = 0, bytes = 0;
+        {
+            FileSink sink(name);
+            Writer writer(sink, Time{}, block);
+            for (int i = 0; i < count; ++i) writer.add(record_of(i));
+            writer.finish();
+            raw = writer.raw_bytes();
+            bytes = writer.offset();
+        }
+        const double wrote = ms(began);
+        double worst_time = 0, worst_job = 0;
+        std::size_t blocks = 0;
+        for (int part = 0; part < 20; ++part) {
+            const int i = static_cast<int>(static_cast<long long>(count - 1) * part / 19);
+            auto from = Clock::now();
+            {
+                FileSource source(name);
+                Reader reader(source);
+                blocks = reader.places().size();
+                reader.walk(record_of(i).at, [](const Record&) { return false; });
+            }
+            worst_time = std::max(worst_time, ms(from));
+            from = Clock::now();
+            FileSource source(name);
+            Reader reader(source);
+            int found = 0;
+            reader.of_job(record_of(i).job, [&](const Record&) { return ++found < 4; });
+            if (!found) return 1;
+            worst_job = std::max(worst_job, ms(from));
+        }
+        FileSource source(name);
+        Reader reader(source);
+        int at = 0;
+        bool exact = true;
+        reader.walk(Time::min(), [&](const Record& record) { return exact = exact && record == record_of(at++); });
+        exact = exact && at == count;
+        fmt::print("{:>9}K {:>12.1f} {:>8.2f} {:>7} {:>10.0f} {:>12.1f} {:>10.1f} {:>8}\n", block >> 10,
+                   static_cast<double>(bytes) / count, static_cast<double>(raw) / static_cast<double>(bytes), blocks, wrote, worst_time,
+                   worst_job, exact ? "yes" : "NO");
+        std::fflush(stdout);
+    }
+    std::filesystem::remove(name);
+    return 0;
+}
