--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -46,7 +46,7 @@
     void ended(Outcome outcome) override {
         post_.asked = false;
         const bool answered = outcome.status && outcome.ending == Ending::honoured;
-        gateway_.feed([&](Controller& it, Time now) { return it.probe_answered(now, post_, answered, outcome.report); });
+        gateway_.feed([&](trace::Watched& it, Time now) { return it.probe_answered(now, post_, answered, outcome.report); });
     }
 
 private:
@@ -63,7 +63,7 @@
     void ended(Outcome outcome) override {
         const auto it = gateway_.functions_.find(function_);
         if (!awaited_ || it == gateway_.functions_.end()) return;
-        gateway_.feed([&](Controller& controller, Time now) {
+        gateway_.feed([&](trace::Watched& controller, Time now) {
             return controller.load_answered(now, *it->second, post_, outcome.ending, outcome.copies);
         });
     }
@@ -75,14 +75,38 @@
     const bool awaited_;
 };
 
-Gateway::Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed)
+namespace {
+
+trace::Start start_of(const Charter& charter, std::uint64_t seed) {
+    trace::Start start{seed, charter.rulebook, charter.allowances, {}, {}};
+    for (const auto& [name, use] : charter.use_cases) start.use_cases.emplace_back(name, use);
+    for (const auto& [name, tenant] : charter.tenants) start.tenants.emplace_back(name, tenant.share_per_s);
+    return start;
+}
+
+// In the order of start_of().
+std::vector<const UseCase*> use_cases_of(const Charter& charter) {
+    std::vector<const UseCase*> out;
+    for (const auto& [name, use] : charter.use_cases) out.push_back(&use);
+    return out;
+}
+
+std::vector<const Tenant*> tenants_of(const std::map<std::string, Tenant>& tenants) {
+    std::vector<const Tenant*> out;
+    for (const auto& [name, tenant] : tenants) out.push_back(&tenant);
+    return out;
+}
+
+}  // namespace
+
+Gateway::Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed, trace::Recorded recorded)
     : world_(world),
       charter_(std::move(charter)),
       log_(log),
       door_(charter_.door),
       incarnation_(fmt::format("{}/{:x}", charter_.name, world.wall() / 1ms)),
       tenants_(charter_.tenants),
-      controller_(seed, charter_.rulebook, charter_.allowances),
+      controller_(start_of(charter_, seed), use_cases_of(charter_), tenants_of(tenants_), std::move(recorded)),
       roster_(world, charter_.list, incarnation_, log, seed,
               [this](const auto& changed, bool complete) { fleet_told(changed, complete); }) {}
 
@@ -217,14 +241,14 @@
     jobs_[ward.id] = std::move(fresh);
     ++tally_.taken;
 
-    feed([&](Controller& it, Time now) { return it.take(now, ward); });
+    feed([&](trace::Watched& it, Time now) { return it.take(now, ward); });
     const auto still = jobs_.find(ids_);
     return still == jobs_.end() || ward.answered() ? nullptr : &ward;
 }
 
 void Gateway::client_left(Ward& ward) {
     ward.visit = nullptr;
-    feed([&](Controller& it, Time now) { return it.client_left(now, ward); });
+    feed([&](trace::Watched& it, Time now) { return it.client_left(now, ward); });
     count(ward);
     let_on(ward);
 }
@@ -233,7 +257,7 @@
     Ward& ward = errand.ward;
     if (ward.answered() || ward.streams || !ward.visit) return false;
     ward.streams = &errand;
-    feed([&](Controller& it, Time now) { return it.hop_accepted(now, errand.hop); });
+    feed([&](trace::Watched& it, Time now) { return it.hop_accepted(now, errand.hop); });
     ++tally_.streamed;
     ward.visit->begin(status, ward, passed);
     // The job is bound to this answer: no other hop of it can be of use any more.
@@ -258,7 +282,7 @@
                    {"ending", static_cast<int>(outcome.ending)}, {"late", late}});
     const std::uint64_t id = ward.id;
     // The client's answer leaves before what the end of the hop sets going.
-    feed([&](Controller& it, Time now) {
+    feed([&](trace::Watched& it, Time now) {
         Results results = it.hop_ended(now, errand.hop, outcome.ending, outcome.note, outcome.company, outcome.report);
         if (!late && ward.answered() && ward.state != JobState::bounced && ward.state != JobState::written_off) {
             const auto visit = std::exchange(ward.visit, nullptr);
@@ -283,7 +307,7 @@
     for (const auto& errand : errands)
         if (ward.answered() && errand->held_back) {
             const Outcome then = *std::exchange(errand->held_back, std::nullopt);
-            feed([&](Controller& it, Time now) {
+            feed([&](trace::Watched& it, Time now) {
                 return it.hop_ended(now, errand->hop, then.ending, then.note, then.company, then.report);
             });
         }
@@ -311,7 +335,7 @@
             post->lines = std::make_unique<Lines>(world_, charter_.lines, *address, line_counts_);
         invokers.push_back(post.get());
     }
-    feed([&](Controller& it, Time now) { return it.fleet_changed(now, invokers, complete); });
+    feed([&](trace::Watched& it, Time now) { return it.fleet_changed(now, invokers, complete); });
     // The module sends nothing new to what takes no more; what waits here for a connection is new as well.
     for (const auto& [name, post] : posts_)
         if (!post->ready || !post->listed) post->lines->withdraw();
@@ -336,7 +360,7 @@
         wake_ = world_.at(wake_at_, [this] {
             wake_ = {};
             wake_at_ = Time::max();
-            feed([](Controller& it, Time now) { return it.wake(now); });
+            feed([](trace::Watched& it, Time now) { return it.wake(now); });
         });
     }
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -15,6 +15,7 @@
 #include "gateway/lines.hpp"
 #include "log/log.hpp"
 #include "net/world.hpp"
+#include "trace/calls.hpp"
 
 namespace plumkeel::gateway {
 
@@ -55,7 +56,8 @@
 
 class Gateway {
 public:
-    Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed);
+    // `recorded` is told every call into the module and its answer, for traces.
+    Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed, trace::Recorded recorded = {});
     ~Gateway();
 
     // Takes jobs from now on; the error of the listen, if it did not come about.
@@ -106,7 +108,7 @@
     std::map<std::string, std::unique_ptr<Post>> posts_;
     LineCounts line_counts_;
     Tally tally_;
-    Controller controller_;
+    trace::Watched controller_;
     fleet::Roster roster_;
     std::shared_ptr<net::Listener> listener_;
     std::map<const Visit*, std::shared_ptr<Visit>> visits_;  // by address, but never walked for a decision
--- /dev/null
+++ b/src/trace/calls.hpp
@@ -0,0 +1,102 @@
+// The calls into the decision module as records: what it was told, and what it answered. A Watched controller
+// writes them as they happen; Again feeds them to a fresh Controller and compares every answer.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+#include "dispatch/controller.hpp"
+#include "trace/format.hpp"
+
+namespace plumkeel::trace {
+
+enum Told : std::uint8_t {  // kinds of records
+    settings = 1,
+    function_known = 2,
+    take = 10,
+    hop_accepted,
+    hop_ended,
+    client_left,
+    fleet_changed,
+    list_broke,
+    probe_answered,
+    load_answered,
+    wake,
+    answered = 30,  // the Results of the call before it
+};
+
+// What the controller was given at its start, in the order in which the records number them.
+struct Start {
+    std::uint64_t seed{};
+    Rulebook rules;
+    Allowances may;
+    std::vector<std::pair<std::string, UseCase>> use_cases;
+    std::vector<std::pair<std::string, double>> tenants;  // with their shares
+};
+
+using Recorded = std::function<void(const Record&)>;
+
+// A Controller with the same calls, each told to `recorded` with its answer. With none it costs one branch.
+class Watched {
+public:
+    // Use cases and tenants by their objects, numbered as in `start`.
+    Watched(Start start, std::vector<const UseCase*> use_cases, std::vector<const Tenant*> tenants, Recorded recorded);
+
+    Results take(Time now, Job& job);
+    Results hop_accepted(Time now, Hop& hop);
+    Results hop_ended(Time now, Hop& hop, Ending ending, Note note, int company, const Report& report);
+    Results client_left(Time now, Job& job);
+    Results fleet_changed(Time now, const std::vector<Invoker*>& changed, bool complete);
+    Results list_broke(Time now);
+    Results probe_answered(Time now, Invoker& invoker, bool came, const Report& report);
+    Results load_answered(Time now, Function& function, Invoker& invoker, Ending ending, int copies);
+    Results wake(Time now);
+
+private:
+    std::uint64_t number_of(const Function& function, Time now);
+    std::uint64_t number_of(const Invoker& invoker);
+    Results tell(Time now, std::uint64_t job, Results results);
+
+    Controller controller_;
+    Recorded recorded_;
+    std::unordered_map<const UseCase*, std::uint64_t> use_cases_;
+    std::unordered_map<const Tenant*, std::uint64_t> tenants_;
+    std::unordered_map<const Function*, std::uint64_t> functions_;
+    std::unordered_map<const Invoker*, std::uint64_t> invokers_;
+    std::unordered_map<const Kind*, std::uint64_t> kinds_;  // told apart by their objects alone
+    std::uint64_t functions_known_{};
+};
+
+struct Difference {
+    std::uint64_t call{};  // its number in the trace
+    Record told;           // the call
+    std::string then, now; // the answers, in words
+};
+
+struct Comparison {
+    std::uint64_t calls{}, jobs{};
+    std::optional<Difference> first;
+    std::uint64_t different_calls{}, different_jobs{};  // where jobs went elsewhere or were answered otherwise
+};
+
+// Decides a trace again. `change` may alter what the controller is given at its start. After the first
+// difference the recorded ends of hops may no longer fit: what can't be told to the fresh controller any more is
+// left out, and the jobs' ways are compared all the same.
+class Again {
+public:
+    explicit Again(std::function<void(Start&)> change = {});
+    ~Again();
+    void feed(const Record& record);
+    Comparison compare();
+
+private:
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
+// An answer in words, for a person.
+std::string words_of(const Record& results);
+
+}  // namespace plumkeel::trace
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -190,7 +190,7 @@
     }
     void open() {
         log = std::make_unique<Log>(world, charter.log);
-        gateway = std::make_unique<Gateway>(world, charter, *log, 7);
+        gateway = std::make_unique<Gateway>(world, charter, *log, 7, [this](const trace::Record& r) { trace.push_back(r); });
         ASSERT_FALSE(gateway->open());
     }
     static std::string job(const std::string& use_case, const std::string& more = "Connection: close\r\n",
@@ -217,6 +217,16 @@
         return n;
     }
 
+    // Whatever the test did, the same calls give the same answers in a fresh controller.
+    void TearDown() override {
+        trace::Again again;
+        for (const trace::Record& each : trace) again.feed(each);
+        const trace::Comparison found = again.compare();
+        EXPECT_GT(found.calls, 0u);
+        EXPECT_EQ(found.different_calls, 0u) << found.first->then << "\n" << found.first->now;
+    }
+
+    std::vector<trace::Record> trace;
     net::MemoryWorld world;
     Charter charter;
     std::unique_ptr<Log> log;
@@ -399,6 +409,22 @@
     EXPECT_EQ(figure("door", "connections"), 0);
 }
 
+TEST_F(GatewayTest, DecidedAgainUnderAnotherAllowanceATraceShowsWhereItFirstDiffers) {
+    peer({Does::resets, Does::answers});
+    peer({Does::resets, Does::answers});
+    open();
+    client(10ms, job("p"));
+    world.run(5s);
+    trace::Again again([](trace::Start& start) { start.may.hops = 1; });
+    for (const trace::Record& each : trace) again.feed(each);
+    const trace::Comparison found = again.compare();
+    ASSERT_TRUE(found.first);
+    EXPECT_EQ(found.first->told.kind, trace::Told::hop_ended);
+    EXPECT_NE(found.first->then.find("hop 1 of job 1 goes to"), std::string::npos) << found.first->then;
+    EXPECT_NE(found.first->now.find("job 1 is bounced"), std::string::npos) << found.first->now;
+    EXPECT_EQ(found.different_jobs, 1u);
+}
+
 // ---------------------------------------------------------------- the door
 
 struct Odd {
