--- a/src/charter/charter.cpp
+++ b/src/charter/charter.cpp
@@ -143,6 +143,15 @@
         in.complain("level", "is none of: debug, info, warn, error");
 }
 
+void read_trace(Reader& in, trace::RecorderRules& trace) {
+    in.read("folder", trace.folder);
+    in.read("memory_bytes", trace.memory_bytes, 1024 * 1024);
+    in.read("block_bytes", trace.block_bytes, 4096);
+    in.read("file_bytes", trace.file_bytes, 1024 * 1024);
+    in.read("keep_files", trace.keep_files, 1);
+    if (trace.block_bytes > trace::largest_block / 2) in.complain("block_bytes", "is over 8388608");
+}
+
 }  // namespace
 
 Charter read_charter(const std::string& file, const std::map<std::string, std::string>& given) {
@@ -159,6 +168,7 @@
     in.within("list", [&](Reader& part) { read_list(part, charter.list); });
     in.within("lines", [&](Reader& part) { read_lines(part, charter.lines); });
     in.within("log", [&](Reader& part) { read_log(part, charter.log); });
+    in.within("trace", [&](Reader& part) { read_trace(part, charter.trace); });
     in.members("use_cases", [&](const std::string& name, Reader& part) {
         read_use_case(name, part, charter.use_cases[name]);
     });
--- a/src/charter/charter.hpp
+++ b/src/charter/charter.hpp
@@ -9,6 +9,7 @@
 #include "charter/reader.hpp"
 #include "dispatch/types.hpp"
 #include "door/door.hpp"
+#include "trace/recorder.hpp"
 
 namespace plumkeel {
 
@@ -58,6 +59,7 @@
     ListSource list;
     LineRules lines;
     LogRules log;
+    trace::RecorderRules trace;
     bool says_company = true;
     std::map<std::string, StatedUseCase, std::less<>> use_cases;
     std::map<std::string, Tenant> tenants;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -7,6 +7,7 @@
 
 #include "charter/charter.hpp"
 #include "cli/client.hpp"
+#include "cli/trace.hpp"
 #include "gateway/gateway.hpp"
 #include "log/log.hpp"
 #include "net/real.hpp"
@@ -29,7 +30,13 @@
     net::RealWorld world;
     Log log(world, charter.log);
     const std::uint64_t chosen = seed ? *seed : std::random_device{}() | std::uint64_t{std::random_device{}()} << 32;
-    gateway::Gateway gateway(world, charter, log, chosen);
+    std::unique_ptr<trace::Recorder> recorder;
+    trace::Recorded recorded;
+    if (!charter.trace.folder.empty()) {
+        recorder = std::make_unique<trace::Recorder>(charter.trace, charter.name, world.wall());
+        recorded = [&recorder](const trace::Record& record) { recorder->offer(record); };
+    }
+    gateway::Gateway gateway(world, charter, log, chosen, std::move(recorded));
     if (const net::Error error = gateway.open()) {
         std::string why = error.message();
         if (error == net::asio::error::address_in_use)
@@ -40,6 +47,11 @@
     }
     log.line(Log::Level::info, "serving",
              {{"listen", gateway.address().text()}, {"name", charter.name}, {"seed", std::to_string(chosen)}});
+    std::function<void()> hand_over = [&] {
+        recorder->flush();
+        world.at(world.now() + std::chrono::milliseconds(500), hand_over);
+    };
+    if (recorder) hand_over();
     world.on_end_signal([&] {
         log.line(Log::Level::info, "closing");
         gateway.close([&] {
@@ -82,6 +94,17 @@
     send_command->add_option("--memory", job.memory, "MB of a loaded copy");
     send_command->add_option("--mark", job.mark, "by which a repeat of a referenced job is known");
     send_command->add_flag("--again", job.again, "this job was tried before");
+    CLI::App* trace_command = app.add_subcommand("trace", "read traces back");
+    trace_command->require_subcommand(1);
+    std::vector<std::string> files, changes;
+    std::uint64_t number = 0;
+    CLI::App* verify_command = trace_command->add_subcommand("verify", "say what is in them, and what is damaged");
+    CLI::App* show_command = trace_command->add_subcommand("show", "one job's story");
+    show_command->add_option("job", number, "as in plumkeel-job")->required();
+    CLI::App* redecide_command = trace_command->add_subcommand("redecide", "decide it all again and compare");
+    redecide_command->add_option("--change", changes, "NAME=VALUE of a rule or an allowance, as in the settings");
+    for (CLI::App* command : {verify_command, show_command, redecide_command})
+        command->add_option("files", files, "one controller's files, in order")->required();
     CLI11_PARSE(app, argc, argv);
 
     try {
@@ -92,6 +115,9 @@
             return 0;
         }
         if (*status_command) return cli::status(at);
+        if (*verify_command) return cli::trace_verify(files);
+        if (*show_command) return cli::trace_show(files, number);
+        if (*redecide_command) return cli::trace_redecide(files, changes);
         return cli::send(at, job);
     } catch (const std::exception& fault) {
         std::cerr << "plumkeel: " << fault.what() << '\n';
--- a/stand/day.cpp
+++ b/stand/day.cpp
@@ -171,7 +171,8 @@
     }
 
     void start_controller(const std::string& name) {
-        json::object what = {{"log", {{"file", folder_ + "/" + name + ".log"}}}, {"allowances", {{"controllers", plan_.controllers}}}};
+        json::object what = {{"log", {{"file", folder_ + "/" + name + ".log"}}}, {"trace", {{"folder", folder_ + "/traces"}}},
+                             {"allowances", {{"controllers", plan_.controllers}}}};
         merge(what, plan_.controller);
         what["name"] = name;
         what["listen"] = address(controller_ports_[name]);
