--- a/bench/gateway_cost.cpp
+++ b/bench/gateway_cost.cpp
@@ -133,7 +133,7 @@
     world.run();
 }
 
-void serve(bool with_invoker) {
+void serve(bool with_invoker, const std::string& traces = "") {
     net::RealWorld world;
     Charter charter;
     charter.listen = "127.0.0.1:" + std::to_string(gateway_port);
@@ -153,7 +153,16 @@
     use.promised = 60s;
     if (with_invoker) charter.list.fixed.push_back({"i", "127.0.0.1:" + std::to_string(invoker_port), "", "", 1, 0});
     Log log(world, charter.log);
-    gateway::Gateway gateway(world, charter, log, 1);
+    std::unique_ptr<trace::Recorder> recorder;
+    trace::Recorded recorded;
+    if (!traces.empty()) {
+        trace::RecorderRules rules;
+        rules.folder = traces;
+        rules.keep_files = 2;
+        recorder = std::make_unique<trace::Recorder>(rules, "cost", world.wall());
+        recorded = [&recorder](const trace::Record& record) { recorder->offer(record); };
+    }
+    gateway::Gateway gateway(world, charter, log, 1, std::move(recorded));
     if (gateway.open()) _exit(1);
     world.run();
 }
@@ -238,6 +247,8 @@
     app.add_option("--rounds", rounds)->capture_default_str();
     app.add_option("--connections", connections)->capture_default_str();
     app.add_option("--seconds", seconds, "a measurement")->capture_default_str();
+    std::string traces;
+    app.add_option("--recorder", traces, "a folder for traces: measure the gateway with its recorder against without");
     int against = 0;
     app.add_option("--against", against, "load this gateway's port only, with an echoing invoker on 17501: for profiles");
     CLI11_PARSE(app, argc, argv);
@@ -249,9 +260,9 @@
         fmt::print("{:.0f} jobs/s, median {:.0f} us\n", f.per_s, f.median_us);
         return 0;
     }
-    auto measure = [&](bool gateway, int at_once) {
+    auto measure = [&](bool gateway, int at_once, const std::string& folder = "") {
         Child invoker(2, [] { echo(true); });
-        Child subject(1, [&] { gateway ? serve(true) : proxy(); });
+        Child subject(1, [&] { gateway ? serve(true, folder) : proxy(); });
         usleep(300'000);
         Figures out;
         int pipe_ends[2];
@@ -268,6 +279,22 @@
         ::close(pipe_ends[1]);
         return out;
     };
+    if (!traces.empty()) {
+        std::vector<double> shares, cores;
+        for (int i = 0; i < rounds; ++i) {
+            const Figures without = measure(true, connections), with = measure(true, connections, traces);
+            shares.push_back(with.per_s / without.per_s);
+            cores.push_back(with.cpu_us / without.cpu_us);
+            fmt::print("round {}: without {:.0f} jobs/s, p99 {:.0f} us, {:.1f} us of core a job; with {:.0f} jobs/s, p99 {:.0f} us, {:.1f} us; "
+                       "ratio {:.2f}\n", i + 1, without.per_s, without.p99_us, without.cpu_us, with.per_s, with.p99_us, with.cpu_us, shares.back());
+            std::fflush(stdout);
+        }
+        std::sort(shares.begin(), shares.end());
+        std::sort(cores.begin(), cores.end());
+        fmt::print("with the recorder: throughput median {:.2f}, core time (both threads) median {:.2f} of without\n",
+                   shares[shares.size() / 2], cores[cores.size() / 2]);
+        return 0;
+    }
     std::vector<double> ratios, costs;
     for (int i = 0; i < rounds; ++i) {
         const Figures bare = measure(false, connections), full = measure(true, connections);
