--- a/days/killed-when-full.jsonnet
+++ b/days/killed-when-full.jsonnet
@@ -1,10 +1,10 @@
-// A controller is killed with hundreds of jobs open, and comes back on its port at once; the others bear its part.
+// All controllers are killed with hundreds of jobs open, and come back on their ports at once; later one more.
 (import 'bad-day.jsonnet') {
   length: '10s',
-  clients+: { rate: 260, impatient: 0 },
+  clients+: { rate: 400, retries: 0, impatient: 0 },
   happenings: [
-    { at: '2s', kind: 'command', who: ['i%d' % i for i in std.range(1, 12)], say: 'pause ms=2500 every=100000', 'then': 'pause ms=0 every=1000', lasts: '2500ms' },
-    { at: '4200ms', kind: 'kill_controller', who: ['c1'], lasts: '50ms' },
-    { at: '6s', kind: 'kill_controller', who: ['c2', 'c3'], lasts: '100ms' },
+    { at: '2s', kind: 'command', who: ['i%d' % i for i in std.range(1, 14)], say: 'pause ms=2500 every=100000', 'then': 'pause ms=0 every=1000', lasts: '2500ms' },
+    { at: '4200ms', kind: 'kill_controller', who: ['c1', 'c2', 'c3'], lasts: '50ms' },
+    { at: '6s', kind: 'kill_controller', who: ['c2'], lasts: '100ms' },
   ],
 }
