--- a/src/net/real.cpp
+++ b/src/net/real.cpp
@@ -122,10 +122,10 @@
         Error ignored;
         socket->close(ignored);
     });
-    const auto [failed] = co_await socket->async_connect({address, to.port}, told);
+    const auto [broken] = co_await socket->async_connect({address, to.port}, told);
     drop(ticket);
     if (late) co_return Connected{asio::error::timed_out, nullptr};
-    if (failed) co_return Connected{failed, nullptr};
+    if (broken) co_return Connected{broken, nullptr};
     co_return Connected{{}, std::make_shared<SocketStream>(std::move(*socket))};
 }
 
