What the disk did not take is a gap in the trace; the recorder's drops tested

Cause: a batch lost to a broken disk left no mark, so deciding again would have run on over it. Change: the next file begins with the gap's record. Three tests: all written over several files, memory bound, a folder that goes and comes back.

--- a/src/trace/recorder.cpp
+++ b/src/trace/recorder.cpp
@@ -83,6 +83,10 @@
 void Recorder::write(const Batch& batch) {
     try {
         if (!at_work_) begin_file();
+        if (lost_records_ > 0) {  // deciding again must not run on over what the disk did not take
+            at_work_->writer.add({batch.records.front().at, gap, 0, fmt::format("{} {}", lost_records_, lost_bytes_)});
+            lost_records_ = lost_bytes_ = 0;
+        }
         for (const Record& record : batch.records) at_work_->writer.add(record);
         at_work_->writer.flush();
         written_ += batch.records.size();
@@ -90,6 +94,8 @@
     } catch (const Fault&) {
         at_work_.reset();
         dropped_ += batch.records.size();
+        lost_records_ += batch.records.size();
+        lost_bytes_ += batch.bytes;
     }
 }
 
--- a/src/trace/recorder.hpp
+++ b/src/trace/recorder.hpp
@@ -64,6 +64,7 @@
 
     struct File;
     std::unique_ptr<File> at_work_;  // the writing thread's own
+    std::uint64_t lost_records_{}, lost_bytes_{};  // not taken by the disk and not told yet
     std::size_t number_{};
     std::deque<std::string> files_;
     std::atomic<std::uint64_t> dropped_{}, written_{};
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -1,9 +1,14 @@
 // The trace file: exact round trips, every cut point, random damage, lying heads.
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
+#include <filesystem>
 #include <map>
 
+#include "trace/file.hpp"
 #include "trace/format.hpp"
+#include "trace/recorder.hpp"
 
 namespace plumkeel::trace {
 namespace {
@@ -182,5 +187,77 @@
     EXPECT_THROW(Reader{other}, Fault);
 }
 
+// What all files of a folder hold, in order.
+std::vector<Record> all_of(const std::string& folder) {
+    std::map<std::string, int> names;
+    for (const auto& entry : std::filesystem::directory_iterator(folder)) names[entry.path()];
+    std::vector<Record> out;
+    for (const auto& [name, unused] : names) {
+        const FileSource source(name);
+        Reader(source).walk(Time::min(), [&](const Record& record) {
+            out.push_back(record);
+            return true;
+        });
+    }
+    return out;
+}
+
+class RecorderTest : public testing::Test {
+protected:
+    RecorderTest() { std::filesystem::remove_all(rules.folder); }
+    ~RecorderTest() override { std::filesystem::remove_all(rules.folder); }
+    RecorderRules rules{.folder = testing::TempDir() + "plumkeel_traces_" + std::to_string(::getpid())};
+};
+
+TEST_F(RecorderTest, WritesAllThatWasOfferedOverSeveralFiles) {
+    rules.file_bytes = 100'000;
+    const auto records = some(100'000);
+    {
+        Recorder recorder(rules, "c", Time(5));
+        for (const Record& each : records) recorder.offer(each);
+    }
+    EXPECT_EQ(all_of(rules.folder), records);
+    EXPECT_GT(std::distance(std::filesystem::directory_iterator(rules.folder), {}), 2);
+}
+
+TEST_F(RecorderTest, PastItsMemoryWholeBatchesAreDroppedAndTold) {
+    rules.memory_bytes = 1;  // no batch fits
+    const auto records = some(10'000);
+    std::uint64_t dropped = 0;
+    {
+        Recorder recorder(rules, "c", Time(5));
+        for (const Record& each : records) recorder.offer(each);
+        recorder.flush();
+        dropped = recorder.dropped();
+    }
+    EXPECT_EQ(dropped, records.size());
+    EXPECT_TRUE(all_of(rules.folder).empty());
+}
+
+TEST_F(RecorderTest, WhatTheDiskDidNotTakeIsAGapInTheTrace) {
+    rules.file_bytes = 1;  // each batch begins a file
+    {
+        Recorder recorder(rules, "c", Time(5));
+        auto give = [&](int from) {
+            const std::uint64_t before = recorder.written() + recorder.dropped();
+            recorder.offer({Time(from), 9, 1, "x"});
+            recorder.flush();
+            while (recorder.written() + recorder.dropped() == before) ::usleep(1000);
+        };
+        give(1);
+        std::filesystem::rename(rules.folder, rules.folder + ".away");
+        give(2);
+        EXPECT_EQ(recorder.dropped(), 1u);
+        std::filesystem::rename(rules.folder + ".away", rules.folder);
+        give(3);
+    }
+    const auto got = all_of(rules.folder);
+    ASSERT_EQ(got.size(), 3u);
+    EXPECT_EQ(got[0].at, Time(1));
+    EXPECT_EQ(got[1].kind, gap);
+    EXPECT_EQ(got[1].body.substr(0, 2), "1 ");
+    EXPECT_EQ(got[2].at, Time(3));
+}
+
 }  // namespace
 }  // namespace plumkeel::trace
