After one more read: bodies still coming are bounded, signals wake all, traces are pruned

Cause: bodies counted at the door only once whole, so half-sent ones together had no bound; two waiters of one Signal would wake each other on and on; traces of earlier runs were never removed; a loss was forgotten if its own record was lost; visits were walked by address. Change: each mended, unused code removed.

--- a/src/door/door.hpp
+++ b/src/door/door.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string_view>
+#include <utility>
 
 namespace plumkeel {
 
@@ -18,7 +19,7 @@
     std::size_t open_jobs = 10'000;
     std::size_t head_bytes = 16 * 1024;
     std::size_t body_bytes = 1024 * 1024;
-    std::size_t memory_bytes = 256 * 1024 * 1024;  // bodies and answers of all open jobs
+    std::size_t memory_bytes = 256 * 1024 * 1024;  // bodies of all open jobs, and those still coming
     std::size_t name_bytes = 256;                  // of a function, a tenant, a mark
     Time head_within = std::chrono::seconds(10);   // the whole head, from its first byte
     Time idle_for = std::chrono::seconds(60);      // between jobs
@@ -102,4 +103,25 @@
     std::array<std::uint64_t, static_cast<std::size_t>(Objection::count_)> counts_{};
 };
 
+// The bytes of one body, counted at the door for as long as this lives or until they are handed on.
+class HeldBytes {
+public:
+    explicit HeldBytes(Door& door) : door_(door) {}
+    ~HeldBytes() { door_.let_go(bytes_); }
+    HeldBytes(const HeldBytes&) = delete;
+    HeldBytes& operator=(const HeldBytes&) = delete;
+
+    Objection grow_to(std::size_t bytes) {
+        if (bytes <= bytes_) return Objection::none;
+        const Objection objection = door_.hold(bytes - bytes_);
+        if (objection == Objection::none) bytes_ = bytes;
+        return objection;
+    }
+    std::size_t hand_on() { return std::exchange(bytes_, 0); }
+
+private:
+    Door& door_;
+    std::size_t bytes_{};
+};
+
 }  // namespace plumkeel
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -44,7 +44,6 @@
 public:
     ProbeErrand(Gateway& gateway, Post& post) : gateway_(gateway), post_(post) { light = true; }
     void ended(Outcome outcome) override {
-        post_.asked = false;
         const bool answered = outcome.status && outcome.ending == Ending::honoured;
         gateway_.feed([&](trace::Watched& it, Time now) { return it.probe_answered(now, post_, answered, outcome.report); });
     }
@@ -145,8 +144,8 @@
             world_.spawn(turn_back(std::move(accepted.stream), objection));
             continue;
         }
-        const auto visit = std::make_shared<Visit>(*this, std::move(accepted.stream));
-        visits_[visit.get()] = visit;
+        const auto visit = std::make_shared<Visit>(*this, ++visit_numbers_, std::move(accepted.stream));
+        visits_[visit->number()] = visit;
         visit->start();
     }
 }
@@ -185,7 +184,7 @@
     door_.close();
     if (listener_) listener_->close();
     const auto visits = visits_;
-    for (const auto& [at, visit] : visits) visit->go_if_idle();
+    for (const auto& [number, visit] : visits) visit->go_if_idle();
     see_whether_done();
 }
 
@@ -197,7 +196,7 @@
 }
 
 void Gateway::visit_gone(const std::shared_ptr<Visit>& visit) {
-    if (visits_.erase(visit.get())) door_.connection_left();
+    if (visits_.erase(visit->number())) door_.connection_left();
     see_whether_done();
 }
 
@@ -228,7 +227,7 @@
     ward.again = wanted.again;
     if (const auto tenant = tenants_.find(wanted.tenant); tenant != tenants_.end()) ward.tenant = &tenant->second;
     ward.visit = std::move(visit);
-    ward.held = wanted.body.size();
+    ward.held = wanted.held;
     http::HeadWriter tail("");
     tail.add(field::controller, incarnation_).add(field::job, static_cast<std::int64_t>(ward.id));
     tail.add(field::use_case, wanted.use_case->name);
@@ -365,10 +364,9 @@
     }
 }
 
-Errand& Gateway::fill(Errand& errand, std::string head, Time within) {
+void Gateway::fill(Errand& errand, std::string head, Time within) {
     errand.head = std::move(head);
     errand.until = world_.now() + within;
-    return errand;
 }
 
 void Gateway::send_hop(Hop& hop) {
@@ -392,7 +390,6 @@
     const auto errand = std::make_shared<ProbeErrand>(*this, post);
     fill(*errand, fmt::format("GET /v1/load HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n\r\n", post.name, field::controller, incarnation_),
          charter_.lines.probe_within);
-    post.asked = true;
     post.lines->send(errand);
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -32,6 +32,7 @@
     std::optional<Time> told_load;
     bool again{};
     std::string body;
+    std::size_t held{};  // bytes of it counted at the door; they are the job's from now on
 };
 
 // A job as the gateway holds it: the module's part and what is needed to send it and to answer.
@@ -46,7 +47,6 @@
 
 struct Post : Invoker {
     std::unique_ptr<Lines> lines;
-    bool asked{};  // a probe is out
 };
 
 struct Tally {
@@ -91,7 +91,7 @@
     void drop_if_closed(Ward& ward);
     void visit_gone(const std::shared_ptr<Visit>& visit);
     void see_whether_done();
-    Errand& fill(Errand& errand, std::string head, Time within);
+    void fill(Errand& errand, std::string head, Time within);
     // Every call into the module goes through here.
     template <class Call>
     void feed(Call call);
@@ -111,7 +111,8 @@
     trace::Watched controller_;
     fleet::Roster roster_;
     std::shared_ptr<net::Listener> listener_;
-    std::map<const Visit*, std::shared_ptr<Visit>> visits_;  // by address, but never walked for a decision
+    std::map<std::uint64_t, std::shared_ptr<Visit>> visits_;  // in the order in which they came
+    std::uint64_t visit_numbers_{};
     std::uint64_t ids_{};
     net::World::Ticket wake_{};
     Time wake_at_ = Time::max();
--- a/src/gateway/visit.cpp
+++ b/src/gateway/visit.cpp
@@ -10,8 +10,9 @@
 
 constexpr Time lingering = 1s;
 
-Visit::Visit(Gateway& gateway, std::shared_ptr<net::Stream> stream)
+Visit::Visit(Gateway& gateway, std::uint64_t number, std::shared_ptr<net::Stream> stream)
     : gateway_(gateway),
+      number_(number),
       stream_(std::move(stream)),
       outbox_(std::make_shared<net::Outbox>(gateway.world_, stream_)),
       inbox_(stream_, 128 * 1024),
@@ -79,23 +80,17 @@
         wanted.function = path[2];
     if (objection == Objection::none) objection = understand(parser, wanted);
     if (objection == Objection::none) objection = gateway_.door_.head_read(parser.content_length().value_or(0));
-    if (objection == Objection::none) objection = co_await read_body(parser, nobody);
+    HeldBytes held(gateway_.door_);
+    if (objection == Objection::none) objection = co_await read_body(parser, nobody, held);
     if (nobody || leaving_) co_return false;
-    if (objection == Objection::none && !gateway_.listener_) objection = Objection::closing;
+    if (objection == Objection::none) objection = held.grow_to(parser.get().body().size());
+    if (objection == Objection::none) objection = gateway_.door_.job_came();
     if (objection != Objection::none) {
         object(objection);
-        co_return !leaving_;
+        co_return false;
     }
     wanted.body = std::move(parser.get().body());
-    if (objection = gateway_.door_.hold(wanted.body.size()); objection != Objection::none) {
-        object(objection);
-        co_return !leaving_;
-    }
-    if (objection = gateway_.door_.job_came(); objection != Objection::none) {
-        gateway_.door_.let_go(wanted.body.size());
-        object(objection);
-        co_return !leaving_;
-    }
+    wanted.held = held.hand_on();
     ward_ = gateway_.take(std::move(wanted), shared_from_this());
     co_return co_await await_answer();
 }
@@ -125,8 +120,11 @@
     co_return Objection::none;
 }
 
-net::Task<Objection> Visit::read_body(Parser& parser, bool& nobody) {
+net::Task<Objection> Visit::read_body(Parser& parser, bool& nobody, HeldBytes& held) {
     if (parser.is_done()) co_return Objection::none;
+    // Counted from the head on, or as it comes: many half-sent bodies must not get past the bound together.
+    const Objection no_room = held.grow_to(parser.content_length().value_or(0));
+    if (no_room != Objection::none) co_return no_room;
     if (http::beast::iequals(parser.get()[bh::field::expect], "100-continue"))
         outbox_->send("HTTP/1.1 100 Continue\r\n\r\n");
     const Time since = world().now();
@@ -145,6 +143,8 @@
         }
         if (const net::Error error = inbox_.feed(parser))
             co_return error == bh::error::body_limit ? Objection::body_too_big : Objection::malformed;
+        const Objection full = held.grow_to(parser.get().body().size());
+        if (full != Objection::none) co_return full;
         const auto slow = gateway_.door_.pace(since, world().now(), parser.get().body().size());
         if (slow != Objection::none && !parser.is_done()) co_return slow;
     }
--- a/src/gateway/visit.hpp
+++ b/src/gateway/visit.hpp
@@ -8,7 +8,7 @@
 
 class Visit : public std::enable_shared_from_this<Visit> {
 public:
-    Visit(Gateway& gateway, std::shared_ptr<net::Stream> stream);
+    Visit(Gateway& gateway, std::uint64_t number, std::shared_ptr<net::Stream> stream);
     void start();
 
     // The job's final answer, whole.
@@ -21,6 +21,7 @@
     net::Task<bool> room();
     // No job is open here: it goes now, as the controller takes no more.
     void go_if_idle();
+    std::uint64_t number() const { return number_; }
     bool busy() const { return ward_ != nullptr || (outbox_->pending() > 0 && !outbox_->broken()); }
 
 private:
@@ -29,7 +30,7 @@
     net::Task<> live(std::shared_ptr<Visit> self);
     net::Task<bool> one_job();
     net::Task<Objection> read_head(Parser& parser, bool& nobody);
-    net::Task<Objection> read_body(Parser& parser, bool& nobody);
+    net::Task<Objection> read_body(Parser& parser, bool& nobody, HeldBytes& held);
     net::Task<bool> await_answer();
     Objection understand(const Parser& parser, Wanted& wanted) const;
     void say_plain(unsigned status, std::string_view type, std::string body);
@@ -43,6 +44,7 @@
     net::World& world() const;
 
     Gateway& gateway_;
+    const std::uint64_t number_;
     std::shared_ptr<net::Stream> stream_;
     std::shared_ptr<net::Outbox> outbox_;
     http::Inbox inbox_;
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -17,9 +17,6 @@
 namespace beast = boost::beast;
 namespace bh = boost::beast::http;
 
-using Head = bh::request<bh::empty_body>;
-using AnswerHead = bh::response<bh::empty_body>;
-
 inline std::string_view view(beast::string_view text) {
     return {text.data(), text.size()};
 }
--- a/src/net/world.cpp
+++ b/src/net/world.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <exception>
+#include <utility>
 
 namespace plumkeel::net {
 
@@ -71,18 +72,18 @@
 }
 
 Task<> Signal::wait() {
-    if (!told_) {
-        timer_.expires_at(asio::steady_timer::time_point::max());
-        waiting_ = true;
-        co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
-        waiting_ = false;
-    }
-    told_ = false;
+    if (std::exchange(told_, false)) co_return;
+    // The expiry is never set anew: that would wake those who wait already, and two would wake each other on and on.
+    ++waiting_;
+    co_await timer_.async_wait(asio::as_tuple(asio::use_awaitable));
+    --waiting_;
 }
 
 void Signal::fire() {
-    told_ = true;
-    if (waiting_) timer_.cancel();
+    if (waiting_ > 0)
+        timer_.cancel();
+    else
+        told_ = true;
 }
 
 }  // namespace plumkeel::net
--- a/src/net/world.hpp
+++ b/src/net/world.hpp
@@ -111,16 +111,18 @@
     bool ending_{};
 };
 
-// Lets one coroutine wait for something that another tells. What was told before the wait lets it pass.
+// Lets coroutines wait for something that another tells. All that wait are woken; what was told while none did
+// lets the next one pass. A waiter looks at the state itself: being woken says only that it may have changed.
 class Signal {
 public:
-    explicit Signal(World& world) : timer_(world.executor()) {}
+    explicit Signal(World& world) : timer_(world.executor(), asio::steady_timer::time_point::max()) {}
     Task<> wait();
     void fire();
 
 private:
     asio::steady_timer timer_;  // never expires: cancelling it wakes the waiter
-    bool told_{}, waiting_{};
+    bool told_{};
+    int waiting_{};
 };
 
 }  // namespace plumkeel::net
--- a/src/trace/recorder.cpp
+++ b/src/trace/recorder.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <utility>
 
@@ -21,8 +22,13 @@
     : rules_(std::move(rules)), name_(std::move(name)), begun_(begun) {
     std::error_code ignored;
     std::filesystem::create_directories(rules_.folder, ignored);
+    // Files of earlier runs count as well: else each restart would leave its own behind for ever.
+    for (const auto& entry : std::filesystem::directory_iterator(rules_.folder, ignored))
+        if (entry.path().extension() == ".trace" && entry.path().filename().string().starts_with(name_ + "-"))
+            files_.push_back(entry.path());
+    std::sort(files_.begin(), files_.end());
     begin_file();
-    first_file_ = files_.front();
+    first_file_ = files_.back();
     thread_ = std::thread([this] { run(); });
 }
 
@@ -85,10 +91,10 @@
         if (!at_work_) begin_file();
         if (lost_records_ > 0) {  // deciding again must not run on over what the disk did not take
             at_work_->writer.add({batch.records.front().at, gap, 0, fmt::format("{} {}", lost_records_, lost_bytes_)});
-            lost_records_ = lost_bytes_ = 0;
         }
         for (const Record& record : batch.records) at_work_->writer.add(record);
         at_work_->writer.flush();
+        lost_records_ = lost_bytes_ = 0;
         written_ += batch.records.size();
         if (at_work_->writer.offset() >= rules_.file_bytes) close_file();
     } catch (const Fault&) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -503,6 +503,23 @@
     EXPECT_EQ(figure("door", "held_bytes"), 0);
 }
 
+TEST_F(GatewayTest, BodiesThatAreStillComingCountAgainstTheMemory) {
+    charter.door.memory_bytes = 1000;
+    peer({Does::answers});
+    open();
+    const std::string text = job("p", "", std::string(900, 'b'));
+    client(10ms, text.substr(0, text.size() - 800), 1s);  // 100 of 900 bytes, then it stays away
+    Client& second = client(100ms, job("p", "", std::string(300, 'b')));
+    std::string chunked = head(good + "Transfer-Encoding: chunked\r\n") + "12c\r\n" + std::string(300, 'b');
+    Client& third = client(100ms, chunked);
+    Client& after = client(2s, job("p", "", std::string(900, 'b')), 5s);
+    world.run(10s);
+    EXPECT_EQ(second.count("no_memory"), 1) << second.got;
+    EXPECT_EQ(third.count("no_memory"), 1) << third.got;
+    EXPECT_EQ(after.count("plumkeel-outcome: honoured"), 1) << after.got;
+    EXPECT_EQ(figure("door", "held_bytes"), 0);
+}
+
 // ---------------------------------------------------------------- the list, the drain rule, and the end
 
 // A list source whose text the test changes.
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -325,6 +325,29 @@
     EXPECT_EQ(world.now(), 3ms);
 }
 
+TEST(Seam, TwoThatWaitForOneSignalAreBothWokenAndNotByEachOther) {
+    net::MemoryWorld world;
+    net::Signal signal(world);
+    bool open = false;
+    int woken = 0, through = 0;
+    auto waiter = [&]() -> net::Task<> {
+        while (!open) {
+            co_await signal.wait();
+            ++woken;
+        }
+        ++through;
+    };
+    world.spawn(waiter());
+    world.spawn(waiter());
+    world.at(5ms, [&] {
+        open = true;
+        signal.fire();
+    });
+    world.run();
+    EXPECT_EQ(through, 2);
+    EXPECT_EQ(woken, 2);
+}
+
 TEST(Seam, NobodyThereIsToldAndSoIsAReset) {
     net::MemoryWorld world;
     net::Error refused, reset;
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -234,6 +234,17 @@
     EXPECT_TRUE(all_of(rules.folder).empty());
 }
 
+TEST_F(RecorderTest, OnlyTheNewestFilesAreKeptOverRestarts) {
+    rules.keep_files = 3;
+    for (int run = 0; run < 6; ++run) {
+        Recorder recorder(rules, "c", Time(1'000'000 * (run + 1)));
+        recorder.offer({Time(run), 9, 1, "x"});
+    }
+    const auto got = all_of(rules.folder);
+    ASSERT_EQ(got.size(), 3u);
+    EXPECT_EQ(got.front().at, Time(3));
+}
+
 TEST_F(RecorderTest, WhatTheDiskDidNotTakeIsAGapInTheTrace) {
     rules.file_bytes = 1;  // each batch begins a file
     {
