--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -94,17 +94,7 @@
     send_command->add_option("--memory", job.memory, "MB of a loaded copy");
     send_command->add_option("--mark", job.mark, "by which a repeat of a referenced job is known");
     send_command->add_flag("--again", job.again, "this job was tried before");
-    CLI::App* trace_command = app.add_subcommand("trace", "read traces back");
-    trace_command->require_subcommand(1);
-    std::vector<std::string> files, changes;
-    std::uint64_t number = 0;
-    CLI::App* verify_command = trace_command->add_subcommand("verify", "say what is in them, and what is damaged");
-    CLI::App* show_command = trace_command->add_subcommand("show", "one job's story");
-    show_command->add_option("job", number, "as in plumkeel-job")->required();
-    CLI::App* redecide_command = trace_command->add_subcommand("redecide", "decide it all again and compare");
-    redecide_command->add_option("--change", changes, "NAME=VALUE of a rule or an allowance, as in the settings");
-    for (CLI::App* command : {verify_command, show_command, redecide_command})
-        command->add_option("files", files, "one controller's files, in order")->required();
+    const auto run_trace = cli::add_trace(app);
     CLI11_PARSE(app, argc, argv);
 
     try {
@@ -115,10 +105,8 @@
             return 0;
         }
         if (*status_command) return cli::status(at);
-        if (*verify_command) return cli::trace_verify(files);
-        if (*show_command) return cli::trace_show(files, number);
-        if (*redecide_command) return cli::trace_redecide(files, changes);
-        return cli::send(at, job);
+        if (*send_command) return cli::send(at, job);
+        return run_trace();
     } catch (const std::exception& fault) {
         std::cerr << "plumkeel: " << fault.what() << '\n';
         return 2;
--- a/src/cli/trace.hpp
+++ b/src/cli/trace.hpp
@@ -1,14 +1,13 @@
-// plumkeel trace: what a controller was told and decided, read back.
+// The commands that read traces back.
 #pragma once
 
-#include <string>
-#include <vector>
+#include <CLI/CLI.hpp>
+#include <functional>
 
 namespace plumkeel::cli {
 
-// Each returns the exit status: 0 well, 1 damage or a difference found. Throws trace::Fault.
-int trace_verify(const std::vector<std::string>& files);
-int trace_show(const std::vector<std::string>& files, std::uint64_t job);
-int trace_redecide(const std::vector<std::string>& files, const std::vector<std::string>& changes);
+// Adds `trace` with its commands; the returned function runs the one that was given and returns the exit status.
+// It throws trace::Fault or CharterFault.
+std::function<int()> add_trace(CLI::App& app);
 
 }  // namespace plumkeel::cli
--- a/src/trace/calls.cpp
+++ b/src/trace/calls.cpp
@@ -3,13 +3,13 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <set>
-
 #include "trace/words.hpp"
 
 namespace plumkeel::trace {
 namespace {
 
+constexpr std::size_t most_ways = 1'000'000;  // jobs that are followed after a difference; those past it are not told
+
 // The same for the same answer, whoever's objects it points to.
 template <class FunctionNumber, class InvokerNumber>
 Answer answer_of(const Results& r, FunctionNumber function, InvokerNumber invoker) {
@@ -157,7 +157,7 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<Job>> jobs;
     std::unordered_map<const Function*, std::uint64_t> numbers;
     std::unordered_map<const Invoker*, std::uint64_t> places;
-    std::set<std::uint64_t> odd_jobs;
+    std::map<std::uint64_t, std::pair<std::string, std::string>> ways;  // as far as calls were answered otherwise
     Record call;
     std::optional<std::string> now;  // the fresh controller's answer to `call`
     Comparison found;
@@ -184,6 +184,7 @@
     Results take(Time at, std::uint64_t id, const Taken& told);
     Results list(Time at, const FleetChanged& told);
     void settle(const Results& results);
+    void note_ways(const Answer& answer, std::string std::pair<std::string, std::string>::*way);
 };
 
 Again::Again(std::function<void(Start&)> change, Recorded reasons) : state_(std::make_unique<State>()) {
@@ -316,6 +317,20 @@
     }
 }
 
+// Where jobs went and how they were answered by one of two answers that differ.
+void Again::State::note_ways(const Answer& answer, std::string std::pair<std::string, std::string>::*way) {
+    const auto note = [&](std::uint64_t job, const std::string& words) {
+        if (ways.size() >= most_ways && !ways.count(job)) return;
+        std::string& text = ways[job].*way;
+        text += (text.empty() ? "" : ", ") + words;
+    };
+    for (const auto& each : answer.started) {
+        const auto there = invokers.find(each.invoker);
+        note(each.job, "to " + (there == invokers.end() ? "#" + std::to_string(each.invoker) : there->second->name));
+    }
+    for (const auto& each : answer.answered) note(each.job, std::string(word_of(each.state)));
+}
+
 void Again::feed(const Record& record) {
     State& s = *state_;
     if (record.kind == Told::resumed) {
@@ -348,15 +363,23 @@
     }
     if (s.now && *s.now == record.body) return;
     ++s.found.different_calls;
-    if (record.job) s.odd_jobs.insert(record.job);
+    const auto then = unpack<Answer>(record.body);
+    const auto now = s.now ? unpack<Answer>(*s.now) : Answer{};
+    s.note_ways(then, &std::pair<std::string, std::string>::first);
+    s.note_ways(now, &std::pair<std::string, std::string>::second);
     if (s.found.first) return;
-    s.found.first = Difference{s.found.calls, s.call, words_of(unpack<Answer>(record.body)),
-                               s.now ? words_of(unpack<Answer>(*s.now)) : "nothing: the call no longer fits"};
+    s.found.first = Difference{s.found.calls, s.call, words_of(then), s.now ? words_of(now) : "nothing: the call no longer fits"};
 }
 
 Comparison Again::compare() {
-    state_->found.different_jobs = state_->odd_jobs.size();
-    return state_->found;
+    constexpr std::size_t most_named = 10;
+    Comparison found = state_->found;
+    for (const auto& [job, ways] : state_->ways) {
+        if (ways.first == ways.second) continue;  // the same way, at another time
+        ++found.different_jobs;
+        if (found.elsewhere.size() < most_named) found.elsewhere[job] = ways;
+    }
+    return found;
 }
 
 std::string words_of(const Answer& answer) {
--- a/src/trace/calls.hpp
+++ b/src/trace/calls.hpp
@@ -57,7 +57,9 @@
 struct Comparison {
     std::uint64_t calls{}, jobs{};
     std::optional<Difference> first;
-    std::uint64_t different_calls{}, different_jobs{};  // where jobs went elsewhere or were answered otherwise
+    std::uint64_t different_calls{}, different_jobs{};  // jobs that went elsewhere or were answered otherwise
+    // The first of these jobs with their ways then and now: hops and outcome.
+    std::map<std::uint64_t, std::pair<std::string, std::string>> elsewhere;
 };
 
 // Decides a trace again. `change` may alter what the controller is given at its start. After the first
--- a/src/trace/format.cpp
+++ b/src/trace/format.cpp
@@ -332,13 +332,20 @@
     }
 }
 
-void Reader::names(const std::function<void(const Record&)>& each) {
+void Reader::names(const std::function<bool(const Record&)>& each) {
     std::vector<Record> block;
     for (const Place& place : places_) {
         if (!place.names || !unpack(place, block)) continue;
         for (const Record& record : block)
-            if (record.kind > 0 && record.kind <= last_of_names) each(record);
+            if (record.kind > 0 && record.kind <= last_of_names && !each(record)) return;
     }
 }
 
+std::vector<Record> Reader::block(std::size_t& at) {
+    std::vector<Record> block;
+    while (at < places_.size() && !unpack(places_[at++], block)) {
+    }
+    return block;
+}
+
 }  // namespace plumkeel::trace
--- a/src/trace/format.hpp
+++ b/src/trace/format.hpp
@@ -29,7 +29,7 @@
 
 // Kinds from 1 to this one are of names: the others can't be understood without them. Blocks that hold any are
 // marked, so that a reader finds them without the rest.
-constexpr std::uint8_t last_of_names = 6;
+constexpr std::uint8_t last_of_names = 7;
 
 class Sink {
 public:
@@ -99,7 +99,9 @@
     // Records in order, from the block that holds `from` on; `each` returns false to stop.
     void walk(Time from, const std::function<bool(const Record&)>& each);
     void of_job(std::uint64_t job, const std::function<bool(const Record&)>& each);
-    void names(const std::function<void(const Record&)>& each);
+    void names(const std::function<bool(const Record&)>& each);
+    // The next block's records from the place `at`, which it moves on; damaged blocks are left out. Empty: the end.
+    std::vector<Record> block(std::size_t& at);
     // What was found damaged so far.
     const std::vector<Damage>& damage() const { return damage_; }
 
--- a/src/trace/recorder.cpp
+++ b/src/trace/recorder.cpp
@@ -132,7 +132,7 @@
     try {
         if (!at_work_) begin_file(at);
         if (lost_.records > 0)  // deciding again must not run on over what the disk did not take
-            at_work_->writer.add({at, Told::gap, 0, pack(lost_)});
+            put({at, Told::gap, 0, pack(lost_)});
         for (const Record& record : batch.records) {
             if (sampler_)
                 sampler_->feed(record, [&](const Record& kept) { put(kept); });
@@ -176,7 +176,8 @@
     files_.push_back({file, begun_ + at});
     remove_old(begun_ + at);
     if (number_++ == 0) return;
-    at_work_->writer.add({at, Told::resumed, 0, pack(Resumed{told_, ""})});
+    const std::uint64_t again = functions_.size() + invokers_.size() + (settings_ ? 1 : 0);
+    at_work_->writer.add({at, Told::resumed, 0, pack(Resumed{told_, again, ""})});
     if (settings_) at_work_->writer.add({at, settings_->kind, 0, settings_->body});
     for (const auto* known : {&functions_, &invokers_})
         for (const auto& [number, record] : *known) at_work_->writer.add({at, record.kind, 0, record.body});
--- a/src/trace/told.cpp
+++ b/src/trace/told.cpp
@@ -185,7 +185,11 @@
 }
 template <class Io>
 void body(Io& io, Resumed& it) {
-    io.all(it.before, it.part);
+    io.all(it.before, it.again, it.part);
+}
+template <class Io>
+void body(Io& io, Merged& it) {
+    io.all(it.controllers);
 }
 template <class Io>
 void body(Io& io, Nested& it) {
@@ -289,6 +293,7 @@
 PLUMKEEL_TOLD(Forgotten)
 PLUMKEEL_TOLD(Gap)
 PLUMKEEL_TOLD(Resumed)
+PLUMKEEL_TOLD(Merged)
 PLUMKEEL_TOLD(Story)
 PLUMKEEL_TOLD(Taken)
 PLUMKEEL_TOLD(HopAccepted)
--- a/src/trace/told.hpp
+++ b/src/trace/told.hpp
@@ -8,7 +8,7 @@
 
 namespace plumkeel::trace {
 
-// Kinds of records. 1 to 6 are needed to understand the others: the index knows the blocks that hold any.
+// Kinds of records. 1 to 7 are needed to understand the others: the index knows the blocks that hold any.
 enum Told : std::uint8_t {
     settings = 1,
     function_known = 2,
@@ -16,7 +16,8 @@
     function_forgotten = 4,
     invoker_known = 5,
     resumed = 6,
-    story = 7,
+    merged = 7,
+    story = 9,
     take = 10,
     hop_accepted,
     hop_ended,
@@ -55,8 +56,15 @@
 
 // The file goes on from an earlier one, or is a part of one: names told again follow.
 struct Resumed {
-    std::uint64_t before{};  // records of this trace in earlier files, names told again not counted
-    std::string part;        // empty: whole; else how it was cut out, and that it can't be decided again
+    std::uint64_t before{};  // records of this trace in earlier files
+    std::uint64_t again{};   // how many records of names, told again, follow; not counted elsewhere
+    std::string part;        // empty: whole; else how it was made of others, and that it can't be decided again
+};
+
+// The trace holds the records of several controllers; a job's number is its own there, times their count, plus
+// the controller's place in the list.
+struct Merged {
+    std::vector<std::string> controllers;
 };
 
 struct Nested {
