--- a/src/simhost/traced.hpp
+++ b/src/simhost/traced.hpp
@@ -38,9 +38,11 @@
         File(const std::string& name, Time begun) : sink(name), writer(sink, begun) {}
         ~File() { writer.finish(); }
     };
-    std::string name;
+    std::string plain = who, name;
+    for (char& c : plain)
+        if (c == '/') c = '-';
     for (int n = 0; name.empty() || std::filesystem::exists(name); ++n)
-        name = std::string(folder) + "/" + who + "-" + std::to_string(clock.count() / 1000) + "-" + std::to_string(n) + ".trace";
+        name = std::string(folder) + "/" + plain + "-" + std::to_string(clock.count() / 1000) + "-" + std::to_string(n) + ".trace";
     auto file = std::make_shared<File>(name, clock);
     return std::make_unique<Hosted>(std::move(start), std::move(uses), std::move(users),
                                     [file](const trace::Record& record) { file->writer.add(record); });
--- a/src/tale/stream.cpp
+++ b/src/tale/stream.cpp
@@ -299,6 +299,7 @@
             }
             case trace::fleet_changed: {
                 auto told = trace::unpack<trace::FleetChanged>(old);
+                told.controller = place(strand);
                 for (auto& each : told.changed) {
                     each.invoker = invoker(strand, each.invoker, at);
                     each.kind = each.kind * strands_.size() + place(strand);
--- a/src/tale/summary.cpp
+++ b/src/tale/summary.cpp
@@ -144,8 +144,14 @@
     }
 }
 
+// What several controllers saw is marked once.
 void Summary::mark(Time at, std::string what) {
-    if (marks_.size() < most_marks) marks_.push_back({at, std::move(what)});
+    constexpr Time seen_by_all = std::chrono::seconds(3);
+    if (marks_.size() >= most_marks) return;
+    const auto [it, fresh] = marked_.try_emplace(what, at);
+    if (!fresh && at - it->second < seen_by_all) return;
+    it->second = at;
+    marks_.push_back({at, std::move(what)});
 }
 
 void Summary::note(const Record& record, const Names& names) {
@@ -153,29 +159,30 @@
     if (record.kind == trace::list_broke) mark(record.at, "the list broke");
     if (record.kind != trace::fleet_changed) return;
     const auto told = trace::unpack<trace::FleetChanged>(record.body);
-    std::map<std::uint64_t, bool> there;
+    std::set<std::uint64_t> there;
+    const bool begins = !told.changed.empty() && begun_.insert(told.controller).second;
+    if (begins && record.at > std::chrono::seconds(1) && told.controller < names.controllers().size())
+        mark(record.at, "controller " + names.controllers()[told.controller] + " begins");
     for (const auto& each : told.changed) {
-        there[each.invoker] = true;
-        const auto it = listed_.find(each.invoker);
+        there.insert(each.invoker);
         const std::string who = names.invoker(each.invoker);
-        if (it == listed_.end()) {
-            if (record.at > std::chrono::seconds(1)) mark(record.at, who + " is listed");
-        } else if (it->second.first != each.ready) {
+        const auto [it, fresh] = listed_.try_emplace({told.controller, each.invoker}, Listed{each.ready, each.started});
+        if (fresh) {
+            if (!begins) mark(record.at, who + " is listed");
+            continue;
+        }
+        if (it->second.ready != each.ready)
             mark(record.at, who + (each.ready ? " is ready" : " drains"));
-        } else if (it->second.second != each.started) {
+        else if (it->second.started != each.started)
             mark(record.at, who + " has started again");
-        }
-        listed_[each.invoker] = {each.ready, each.started};
+        it->second = {each.ready, each.started};
     }
     if (!told.complete) return;
-    std::vector<std::uint64_t> gone;
-    for (const auto& [number, facts] : listed_)
-        if (!there.count(number)) gone.push_back(number);
-    std::sort(gone.begin(), gone.end());
-    for (const std::uint64_t number : gone) {
-        mark(record.at, names.invoker(number) + " is gone from the list");
-        listed_.erase(number);
-    }
+    std::erase_if(listed_, [&](const auto& each) {
+        if (each.first.first != told.controller || there.count(each.first.second)) return false;
+        mark(record.at, names.invoker(each.first.second) + " is gone from the list");
+        return true;
+    });
 }
 
 void Summary::finish() {
--- a/src/trace/calls.cpp
+++ b/src/trace/calls.cpp
@@ -110,7 +110,7 @@
 
 Results Watched::fleet_changed(Time now, const std::vector<Invoker*>& changed, bool complete) {
     if (recorded_) {
-        FleetChanged told{complete, {}};
+        FleetChanged told{complete, 0, {}};
         for (const Invoker* each : changed)
             told.changed.push_back({number_of(*each, now), each->ready, each->units, each->zone,
                                     kinds_.try_emplace(each->kind, kinds_.size()).first->second, each->cell, each->started});
--- a/src/trace/told.cpp
+++ b/src/trace/told.cpp
@@ -221,7 +221,7 @@
 }
 template <class Io>
 void body(Io& io, FleetChanged& it) {
-    io.all(it.complete, it.changed);
+    io.all(it.complete, it.controller, it.changed);
 }
 template <class Io>
 void body(Io& io, ProbeAnswered& it) {
--- a/src/trace/told.hpp
+++ b/src/trace/told.hpp
@@ -109,6 +109,7 @@
 
 struct FleetChanged {
     bool complete{};
+    std::uint64_t controller{};  // in a merged trace, which one was told; else 0
     std::vector<ListEntry> changed;
 };
 
