--- a/src/cli/trace.cpp
+++ b/src/cli/trace.cpp
@@ -156,25 +156,30 @@
 // The job's records, with the reasons that deciding again gives in place of those recorded.
 std::vector<Record> with_reasons(Chapters& chapters, std::uint64_t job) {
     std::vector<Record> out;
+    std::size_t turns = 0;  // still to come
+    for (const auto& file : chapters.files())
+        file.reader->of_job(job, [&](const Record& record) {
+            if (record.kind == trace::turned)
+                ++turns;
+            else if (record.kind != trace::answered)
+                out.push_back(record);
+            return true;
+        });
     trace::Again again({}, [&](const Record& record) {
         if (record.job == job) out.push_back(record);
     });
     Progress progress("deciding again");
-    bool closed = false;
     chapters.rewind();
-    while (const auto record = closed ? std::nullopt : chapters.next()) {
+    while (turns > 0) {
+        const auto record = chapters.next();
+        if (!record) break;
         again.feed(*record);
-        if (record->job != job) continue;
-        if (record->kind != trace::turned) {
-            out.push_back(*record);
-            continue;
-        }
-        closed = trace::unpack<trace::TurnedTo>(record->body).to >= JobState::honoured;
+        if (record->job == job && record->kind == trace::turned) --turns;
         progress.at(chapters.part_read());
     }
     if (again.compare().first)
         fmt::print(stderr, "plumkeel: this build decides otherwise than the one that recorded; its reasons may not be those of then\n");
-    // A call is recorded before what came of it, yet decided again once its answer is met.
+    // Of one moment the calls come first: what was turned came of them.
     std::stable_sort(out.begin(), out.end(), [](const Record& a, const Record& b) { return a.at < b.at; });
     return out;
 }
--- a/src/tale/chart.cpp
+++ b/src/tale/chart.cpp
@@ -27,6 +27,12 @@
     std::map<std::string, std::uint64_t> hops;
 };
 
+// PLplot takes '#' for the start of a command in a text.
+std::string plain(std::string text) {
+    for (std::size_t at = 0; (at = text.find('#', at)) != std::string::npos; at += 2) text.insert(at, "#");
+    return text;
+}
+
 class Drawing {
 public:
     Drawing(const Summary& summary, const std::string& title, const std::string& file) : summary_(summary) {
@@ -93,14 +99,14 @@
         const double y = height - 0.018 * row;
         box(0, 0.06, y - 0.004, y + 0.006, colour);
         plcol0(ink);
-        plptex(0.1, y, 1, 0, 0, words.c_str());
+        plptex(0.1, y, 1, 0, 0, plain(words).c_str());
     }
 
     void outcomes(const std::string& title) {
         double most = 0;
         for (const Column& c : columns_) most = std::max(most, static_cast<double>(c.ended.all()) / static_cast<double>(step_));
         panel(0.69, 0.95, most, "jobs ended a second", false);
-        plmtex("t", 1.5, 0.5, 0.5, title.c_str());
+        plmtex("t", 1.5, 0.5, 0.5, plain(title).c_str());
         for (std::size_t i = 0; i < columns_.size(); ++i) {
             const Outcomes& o = columns_[i].ended;
             double y = 0;
@@ -162,7 +168,7 @@
         const auto& all = summary_.marks();
         for (std::size_t i = 0; i < std::min(all.size(), most_told); ++i) {
             const std::string words = fmt::format("{:.2f} s  {}", static_cast<double>(all[i].at.count()) / 1e6, all[i].what);
-            plptex(i % 2 ? 0.52 : 0.04, 0.92 - 0.11 * static_cast<double>(i / 2), 1, 0, 0, words.c_str());
+            plptex(i % 2 ? 0.52 : 0.04, 0.92 - 0.11 * static_cast<double>(i / 2), 1, 0, 0, plain(words).c_str());
         }
         if (all.size() > most_told) plptex(0.04, 0.03, 1, 0, 0, fmt::format("and {} further marks", all.size() - most_told).c_str());
     }
--- a/src/tale/summary.cpp
+++ b/src/tale/summary.cpp
@@ -30,8 +30,8 @@
         seen += bins_.at(i);
         if (seen < wanted || seen == 0) continue;
         if (i < 0) return least_;
-        const double upper = i < static_cast<int>(bins) ? bins_.axis().bin(i).upper() : most_ms;
-        return std::clamp(Time(static_cast<Time::rep>(upper * 1e3)), least_, most_);
+        if (i == static_cast<int>(bins)) return most_;
+        return std::clamp(Time(static_cast<Time::rep>(bins_.axis().bin(i).upper() * 1e3)), least_, most_);
     }
     return most_;
 }
--- a/src/tale/telling.cpp
+++ b/src/tale/telling.cpp
@@ -47,11 +47,10 @@
         case JobState::parked:
             return "parked: " + why;
         case JobState::bounced:
-            return fmt::format("bounced: {}{}", why,
-                               told.pause > Time{} ? fmt::format(" (to come back after {})", span(told.pause)) : "");
+            return fmt::format("bounced: {}{}", why, told.pause > Time{} ? fmt::format(" (to come back after {})", span(told.pause)) : "");
         case JobState::written_off:
             return fmt::format("written off: {}{}", why,
-                               tale.hops.empty() ? "" : "; it may have run, so its client can't be told to send it again");
+                               tale.hops.empty() || told.why == Why::may_have_run ? "" : "; it may have run, so its client can't be told to send it again");
         case JobState::abandoned:
             return "abandoned: " + why;
         default:
--- a/src/trace/words.cpp
+++ b/src/trace/words.cpp
@@ -20,7 +20,7 @@
                                       "after a load that it joined", "its load broke"};
 constexpr std::string_view whys[] = {
     "",
-    "it would answer first of those weighed",
+    "of those weighed it would answer first, or nearly so",
     "all that hold the function are crowded, and this one is calm: it loads a further copy",
     "its invoker does not answer",
     "no invoker may be sent it now",
--- /dev/null
+++ b/tests/tale_test.cpp
@@ -0,0 +1,511 @@
+// Tales and what is made of traces: stories, streams over several files and controllers, cuts, names veiled,
+// summaries.
+#include <gtest/gtest.h>
+
+#include "tale/anonymous.hpp"
+#include "tale/stream.hpp"
+#include "tale/summary.hpp"
+#include "tale/telling.hpp"
+#include "tests/toy_trace.hpp"
+#include "trace/calls.hpp"
+#include "trace/words.hpp"
+
+namespace plumkeel::tale {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Memory : trace::Sink, trace::Source {
+    std::string bytes;
+    void append(std::string_view more) override { bytes += more; }
+    std::uint64_t size() const override { return bytes.size(); }
+    std::string read(std::uint64_t offset, std::size_t n) const override {
+        return offset >= bytes.size() ? std::string() : bytes.substr(offset, n);
+    }
+};
+
+// Files by name, as a disk would hold them.
+struct Shelf {
+    std::map<std::string, Memory> files;
+
+    void put(const std::string& name, const std::vector<Record>& records, Time begun = Time(1'000'000), std::size_t block = 1500) {
+        trace::Writer writer(files[name], begun, block);
+        for (const Record& each : records) writer.add(each);
+        writer.finish();
+    }
+    OpenSource open() {
+        return [this](const std::string& name) { return std::make_unique<Memory>(files.at(name)); };
+    }
+    std::vector<std::string> names() const {
+        std::vector<std::string> out;
+        for (const auto& [name, file] : files) out.push_back(name);
+        return out;
+    }
+};
+
+std::vector<Record> all_of(Stream& stream) {
+    std::vector<Record> out;
+    while (const auto record = stream.next()) out.push_back(*record);
+    return out;
+}
+
+std::vector<Tale> tales_of(const std::vector<Record>& records) {
+    std::vector<Tale> out;
+    Tales tales([&](const Tale& tale) { out.push_back(tale); });
+    for (const Record& each : records) tales.feed(each);
+    tales.finish();
+    return out;
+}
+
+std::string told_of(const std::vector<Record>& records, std::uint64_t job) {
+    std::string out;
+    Names names(true);
+    for (const Record& each : records) names.feed(each);
+    for (const Tale& tale : tales_of(records))
+        if (tale.job == job) out = story_of(tale, names);
+    return out;
+}
+
+Record taken(Time at, std::uint64_t job, std::uint64_t use_case = 0) {
+    return {at, trace::take, job, trace::pack(trace::Taken{use_case, 1, 0, 1, {}, 4s, false})};
+}
+Record turned(Time at, std::uint64_t job, JobState to, Why why, std::optional<std::uint64_t> hop = {}, std::uint64_t invoker = 0) {
+    trace::TurnedTo told{to, why, {}, {}, {}};
+    if (hop) told.sent = trace::TurnedTo::Sent{*hop, invoker, true, false};
+    return {at, trace::turned, job, trace::pack(told)};
+}
+Record ended(Time at, std::uint64_t job, std::uint64_t hop, Ending ending) {
+    return {at, trace::hop_ended, job, trace::pack(trace::HopEnded{hop, ending, Note::none, 0, {}})};
+}
+std::vector<Record> names_first() {
+    trace::Start start;
+    start.name = "one";
+    start.use_cases = {{"u", {1s, Repeat::single_use, Reach::everywhere, 0s}}};
+    start.tenants = {{"t", 0.0}};
+    return {{Time{}, trace::settings, 0, trace::pack(start)},
+            {Time{}, trace::function_known, 0, trace::pack(trace::Known{0, "f"})},
+            {Time{}, trace::invoker_known, 0, trace::pack(trace::Known{0, "left"})},
+            {Time{}, trace::invoker_known, 0, trace::pack(trace::Known{1, "right"})}};
+}
+
+ToyPlay with_reasons() {
+    ToyPlay play;
+    play.reasons = true;
+    return play;
+}
+
+ToyPlay called(const char* name, std::uint64_t seed, Time behind = {}) {
+    ToyPlay play;
+    play.name = name;
+    play.seed = seed;
+    play.clock = behind;
+    return play;
+}
+
+Filter filter(void (*set)(Filter&)) {
+    Filter out;
+    set(out);
+    return out;
+}
+
+TEST(Told, EveryBodyCutShortOrLongerIsAFaultAndNothingElse) {
+    for (const Record& record : toy_trace(with_reasons())) {
+        if (record.kind != trace::turned && record.kind != trace::answered && record.kind != trace::fleet_changed) continue;
+        for (std::size_t n = 0; n < record.body.size(); ++n) {
+            const std::string part = record.body.substr(0, n);
+            if (record.kind == trace::turned) {
+                EXPECT_THROW(trace::unpack<trace::TurnedTo>(part), trace::Fault);
+            }
+            if (record.kind == trace::answered) {
+                EXPECT_THROW(trace::unpack<trace::Answer>(part), trace::Fault);
+            }
+            if (record.kind == trace::fleet_changed) {
+                EXPECT_THROW(trace::unpack<trace::FleetChanged>(part), trace::Fault);
+            }
+        }
+    }
+    EXPECT_THROW(trace::unpack<trace::Known>(trace::pack(trace::Known{1, "a"}) + "x"), trace::Fault);
+    // A count that claims far more than the body holds.
+    EXPECT_THROW(trace::unpack<trace::Answer>("\xff\xff\xff\xff\xff\xff\xff\xff\x7f"), trace::Fault);
+}
+
+TEST(Tales, AWrittenOffJobIsToldWithItsReasons) {
+    auto records = names_first();
+    trace::TurnedTo first{JobState::hopping, Why::best_invoker, {}, {}, {}};
+    first.sent = trace::TurnedTo::Sent{0, 1, false, true};
+    first.weighed = {{1, 120ms, 20ms, true, Bar::none}, {0, {}, {}, false, Bar::cold_budget}};
+    records.push_back(taken(1s, 7));
+    records.push_back(turned(1s, 7, JobState::parked, Why::none_usable));
+    records.push_back({1200ms, trace::turned, 7, trace::pack(first)});
+    records.push_back(ended(1500ms, 7, 0, Ending::cut_off));
+    records.push_back(turned(1500ms, 7, JobState::written_off, Why::may_have_run));
+    const std::string story = told_of(records, 7);
+    for (const char* part : {"job 7 at one: function f, use case u, tenant t", "taken at 1.000000 s", "promised within 1.00 s",
+                             "parked: no invoker may be sent it now", "hop 0 goes to right: of those weighed it would answer first",
+                             "right would answer in 120.0 ms, 20.0 ms of it behind others, a copy is thought to stand there",
+                             "left passed over: cold: its budget of jobs is used up", "hop 0 at right ends after 300.0 ms: cut off",
+                             "written off: it may have run, and may not run again anywhere", "so: written off after 500.0 ms, 1 hop, parked for 200.0 ms"})
+        EXPECT_NE(story.find(part), std::string::npos) << part << "\nin:\n" << story;
+    EXPECT_LT(story.find("ends after"), story.find("written off: it may"));
+}
+
+TEST(Tales, ATraceBegunInMidFlightIsToldAsSuch) {
+    auto records = names_first();
+    records.push_back(ended(1500ms, 7, 0, Ending::honoured));
+    records.push_back(turned(1500ms, 7, JobState::honoured, Why::answer_came));
+    records.push_back(taken(2s, 8));
+    const auto tales = tales_of(records);
+    ASSERT_EQ(tales.size(), 2u);
+    EXPECT_FALSE(tales[0].begun);
+    EXPECT_EQ(tales[0].outcome_word(), "honoured");
+    EXPECT_EQ(tales[1].outcome_word(), "unfinished");
+    EXPECT_NE(told_of(records, 7).find("taken before this trace"), std::string::npos);
+    EXPECT_FALSE(filter([](Filter& f) { f.from = 1s; }).fits(tales[0]));
+    EXPECT_TRUE(filter([](Filter& f) { f.from = 1s; }).fits(tales[1]));
+}
+
+TEST(Tales, PastTheBoundOfOpenJobsTheOldestIsToldAsItIs) {
+    std::vector<std::uint64_t> told;
+    Tales tales([&](const Tale& tale) { told.push_back(tale.job); }, false, 3);
+    for (const Record& each : names_first()) tales.feed(each);
+    for (std::uint64_t job = 1; job <= 5; ++job) tales.feed(taken(Time(job), job));
+    EXPECT_EQ(told, (std::vector<std::uint64_t>{1, 2}));
+}
+
+TEST(Tales, AFilterTakesTheOutcomesByTheirWords) {
+    auto records = names_first();
+    auto job = [&](std::uint64_t id, JobState to, Time took) {
+        records.push_back(taken(1s, id));
+        records.push_back(turned(1s, id, JobState::hopping, Why::best_invoker, 0, id % 2));
+        records.push_back(ended(1s + took, id, 0, to == JobState::honoured ? Ending::honoured : Ending::overdue));
+        records.push_back(turned(1s + took, id, to, Why::answer_came));
+    };
+    job(1, JobState::honoured, 200ms);
+    job(2, JobState::honoured, 1500ms);  // promised within 1 s
+    job(3, JobState::written_off, 100ms);
+    job(4, JobState::bounced, 100ms);
+    const auto tales = tales_of(records);
+    auto count = [&](const Filter& wanted) { return std::count_if(tales.begin(), tales.end(), [&](const Tale& t) { return wanted.fits(t); }); };
+    EXPECT_EQ(count(filter([](Filter& f) { f.outcome = "honoured"; })), 1);
+    EXPECT_EQ(count(filter([](Filter& f) { f.outcome = "late"; })), 1);
+    EXPECT_EQ(count(filter([](Filter& f) { f.outcome = "written-off"; })), 1);
+    EXPECT_EQ(count(filter([](Filter& f) { f.outcome = "badly"; })), 3);
+    EXPECT_EQ(count(filter([](Filter& f) { f.invoker = "right"; })), 2);
+    EXPECT_EQ(count(filter([](Filter& f) { f.tenant = "nobody"; })), 0);
+    EXPECT_THROW(filter([](Filter& f) { f.outcome = "lost"; }).check(), trace::Fault);
+}
+
+// ---------------------------------------------------------------- several files
+
+// A controller's trace in three files, as the recorder rotates them.
+Shelf three_files(const std::vector<Record>& records) {
+    Shelf shelf;
+    std::vector<Record> known;
+    const std::size_t third = records.size() / 3;
+    for (std::size_t i = 0; i < 3; ++i) {
+        std::vector<Record> part;
+        if (i > 0) {
+            part.push_back({records[i * third].at, trace::resumed, 0, trace::pack(trace::Resumed{i * third, known.size(), ""})});
+            for (const Record& each : known) part.push_back({records[i * third].at, each.kind, 0, each.body});
+        }
+        for (std::size_t n = i * third; n < (i == 2 ? records.size() : (i + 1) * third); ++n) {
+            part.push_back(records[n]);
+            if (records[n].kind == trace::settings || records[n].kind == trace::function_known || records[n].kind == trace::invoker_known)
+                known.push_back(records[n]);
+        }
+        shelf.put("part" + std::to_string(i), part);
+    }
+    return shelf;
+}
+
+TEST(Chapters, FilesInAnyOrderAreOneTraceAndWhatIsThereTwiceIsToldOnce) {
+    const auto records = toy_trace({});
+    Shelf shelf = three_files(records);
+    shelf.files["copy of part1"] = shelf.files["part1"];
+    auto parts = open_all({"part2", "copy of part1", "part0", "part1"}, shelf.open());
+    ASSERT_EQ(parts.size(), 1u);
+    EXPECT_EQ(all_of(*parts[0]), records);
+    EXPECT_EQ(parts[0]->missing(), 0u);
+    // And decided again over all of them.
+    trace::Again again;
+    parts[0]->rewind();
+    while (const auto record = parts[0]->next()) again.feed(*record);
+    EXPECT_FALSE(again.compare().first);
+    EXPECT_EQ(again.compare().jobs, 400u);
+}
+
+TEST(Chapters, AMissingFileIsAGapAndItsNamesAreKnownAllTheSame) {
+    const auto records = toy_trace({});
+    Shelf shelf = three_files(records);
+    auto parts = open_all({"part0", "part2"}, shelf.open());
+    const auto got = all_of(*parts[0]);
+    EXPECT_EQ(parts[0]->missing(), records.size() / 3);
+    const auto gap = std::find_if(got.begin(), got.end(), [](const Record& r) { return r.kind == trace::gap; });
+    ASSERT_NE(gap, got.end());
+    EXPECT_EQ(trace::unpack<trace::Gap>(gap->body).records, records.size() / 3);
+    trace::Again again;
+    EXPECT_THROW(
+        {
+            for (const Record& each : got) again.feed(each);
+        },
+        trace::Fault);
+    for (const Tale& tale : tales_of(got))
+        if (tale.begun) {
+            EXPECT_EQ(tale.function.find('#'), std::string::npos) << tale.function;
+        }
+}
+
+TEST(Chapters, ATraceWithoutItsFirstFileBeginsInMidFlight) {
+    Shelf shelf = three_files(toy_trace({}));
+    auto parts = open_all({"part1", "part2"}, shelf.open());
+    const auto got = all_of(*parts[0]);
+    EXPECT_EQ(got.front().kind, trace::resumed);
+    EXPECT_EQ(parts[0]->controller(), "toy");
+    trace::Again again;
+    EXPECT_THROW(again.feed(got.front()), trace::Fault);
+    for (const Tale& tale : tales_of(got))
+        if (tale.begun) {
+            EXPECT_EQ(tale.use_case.substr(0, 7), "secret-");
+        }
+}
+
+TEST(Chapters, ADamagedBlockIsAGap) {
+    const auto records = toy_trace({});
+    Shelf shelf;
+    shelf.put("one", records);
+    auto& bytes = shelf.files["one"].bytes;
+    bytes[bytes.size() / 2] = static_cast<char>(bytes[bytes.size() / 2] ^ 1);
+    auto parts = open_all({"one"}, shelf.open());
+    const auto got = all_of(*parts[0]);
+    EXPECT_EQ(std::count_if(got.begin(), got.end(), [](const Record& r) { return r.kind == trace::gap; }), 1);
+    EXPECT_LT(got.size(), records.size());
+    EXPECT_GT(got.size(), records.size() * 3 / 4);
+}
+
+TEST(Chapters, FromAMomentOnAllNamesAreKnown) {
+    const auto records = toy_trace({});
+    Shelf shelf = three_files(records);
+    auto parts = open_all(shelf.names(), shelf.open());
+    const Time from = records[records.size() * 2 / 3 + 50].at;
+    parts[0]->rewind(from);
+    std::vector<Record> got = all_of(*parts[0]);
+    std::vector<Record> wanted, later;
+    for (const Record& each : records)
+        if (each.at >= from && each.kind > trace::last_of_names) wanted.push_back(each);
+    for (const Record& each : got)
+        if (each.at >= from && each.kind > trace::last_of_names) later.push_back(each);
+    EXPECT_EQ(later, wanted);
+    for (const Tale& tale : tales_of(got))
+        if (tale.begun) {
+            EXPECT_EQ(tale.function.find('#'), std::string::npos) << tale.function;
+        }
+}
+
+TEST(Chapters, WhatIsNoTraceIsNamed) {
+    Shelf shelf;
+    shelf.files["empty"];
+    try {
+        open_all({"empty"}, shelf.open());
+        FAIL();
+    } catch (const trace::Fault& fault) {
+        EXPECT_STREQ(fault.what(), "empty: this is no trace file");
+    }
+}
+
+// ---------------------------------------------------------------- several controllers
+
+struct Two {
+    Shelf shelf;
+    std::vector<std::unique_ptr<Chapters>> parts;
+    explicit Two(Time behind) {
+        shelf.put("a", toy_trace(called("a", 3)));
+        shelf.put("b", toy_trace(called("b", 4, behind)));
+        parts = open_all(shelf.names(), shelf.open());
+    }
+    std::vector<Chapters*> both() { return {parts[0].get(), parts[1].get()}; }
+};
+
+TEST(Merge, ClocksAreEstimatedFromWhatBothSaw) {
+    for (const Time behind : {Time(0), Time(70ms), Time(350ms)}) {
+        Two two(behind);
+        const auto found = estimate_offsets(two.both());
+        EXPECT_EQ(found[0].offset, Time{});
+        EXPECT_GE(found[1].from, 3u);
+        EXPECT_LE(std::chrono::abs(found[1].offset - behind), 1ms) << behind.count() << " " << found[1].offset.count();
+    }
+}
+
+TEST(Merge, KeepsEachControllersOrderAndTellsJobsApart) {
+    Two two(70ms);
+    const auto stream = merged(two.both(), {Time{}, Time(70ms)});
+    const auto got = all_of(*stream);
+    EXPECT_TRUE(std::is_sorted(got.begin(), got.end(), [](const Record& a, const Record& b) { return a.at < b.at; }));
+    const auto again = merged(two.both(), {Time{}, Time(70ms)});
+    EXPECT_EQ(all_of(*again), got);
+    // Every job's tale is as in its own trace, but for the shift of its clock.
+    std::map<std::uint64_t, Tale> tales;
+    for (Tale& tale : tales_of(got)) tales[tale.job] = std::move(tale);
+    for (std::uint64_t side = 0; side < 2; ++side) {
+        two.parts[side]->rewind();
+        for (const Tale& own : tales_of(all_of(*two.parts[side]))) {
+            const Tale& there = tales.at(own.job * 2 + side);
+            EXPECT_EQ(there.function, own.function);
+            EXPECT_EQ(there.tenant, own.tenant);
+            EXPECT_EQ(there.outcome, own.outcome);
+            EXPECT_EQ(there.taken - own.taken, side ? Time(70ms) : Time{});
+            ASSERT_EQ(there.hops.size(), own.hops.size());
+            for (std::size_t i = 0; i < own.hops.size(); ++i) EXPECT_EQ(there.hops[i].invoker, own.hops[i].invoker);
+        }
+    }
+    EXPECT_EQ(tales.size(), 800u);
+    Names names;
+    for (const Record& each : got) names.feed(each);
+    EXPECT_EQ(names.job(7), "3@b");
+    trace::Again decided;
+    EXPECT_THROW(decided.feed(got.front()), trace::Fault);
+}
+
+TEST(Merge, OfOneMomentTheFirstControllerComesFirst) {
+    Shelf shelf;
+    for (const char* name : {"a", "b"}) {
+        auto records = names_first();
+        auto start = trace::unpack<trace::Start>(records[0].body);
+        start.name = name;
+        records[0].body = trace::pack(start);
+        for (std::uint64_t job = 1; job <= 3; ++job) records.push_back(taken(1s, job));
+        shelf.put(name, records);
+    }
+    auto parts = open_all({"b", "a"}, shelf.open());
+    std::vector<std::uint64_t> order;
+    const auto stream = merged({parts[0].get(), parts[1].get()}, {Time{}, Time{}});
+    while (const auto record = stream->next())
+        if (record->kind == trace::take) order.push_back(record->job);
+    EXPECT_EQ(order, (std::vector<std::uint64_t>{2, 4, 6, 3, 5, 7}));
+}
+
+// ---------------------------------------------------------------- names veiled
+
+TEST(Anonymous, NoOriginalNameOrAddressIsLeftAndTheSameNameHasTheSameToken) {
+    const auto records = toy_trace(with_reasons());
+    Anonymous one("a key of sixteen bytes or more"), same("a key of sixteen bytes or more"), other("another key, of as many bytes");
+    std::vector<Record> veiled;
+    for (const Record& each : records)
+        if (auto out = one.veiled(each)) veiled.push_back(std::move(*out));
+    ASSERT_GT(veiled.size(), records.size() / 2);
+    for (const Record& each : veiled)
+        for (const char* part : {"secret", "toy", "10.9.8", "acme", "umbrella", "preview", "charge"})
+            EXPECT_EQ(each.body.find(part), std::string::npos) << int(each.kind) << " " << part;
+    EXPECT_EQ(one.token("function", "f"), same.token("function", "f"));
+    EXPECT_NE(one.token("function", "f"), other.token("function", "f"));
+    EXPECT_NE(one.token("function", "f").substr(9), one.token("tenant", "f").substr(7));
+    EXPECT_THROW(Anonymous("short"), trace::Fault);
+    // It still tells what happened.
+    const auto before = tales_of(records), after = tales_of(veiled);
+    ASSERT_EQ(before.size(), after.size());
+    for (std::size_t i = 0; i < before.size(); ++i) {
+        EXPECT_EQ(before[i].outcome, after[i].outcome);
+        EXPECT_EQ(one.token("function", before[i].function), after[i].function);
+    }
+    // A kind that this build does not know may hold anything.
+    EXPECT_FALSE(one.veiled({Time{}, 200, 0, "secret"}));
+}
+
+// ---------------------------------------------------------------- figures
+
+TEST(Summary, CountsOutcomesHopsAndWaits) {
+    const auto records = toy_trace({});
+    Summary summary;
+    Names names;
+    Outcomes plain;
+    for (const Record& each : records) {
+        names.feed(each);
+        summary.note(each, names);
+    }
+    std::uint64_t hops = 0;
+    for (const Tale& tale : tales_of(records)) {
+        summary.add(tale);
+        plain.add(tale);
+        hops += tale.hops.size();
+    }
+    summary.finish();
+    EXPECT_EQ(summary.all().outcomes.all(), 400u);
+    EXPECT_GT(plain.honoured, 200u);
+    EXPECT_GT(plain.written_off, 0u);
+    std::uint64_t by_function = 0, by_invoker = 0, by_second = 0, taken_sum = 0;
+    for (const auto& [name, jobs] : summary.functions()) by_function += jobs.outcomes.all();
+    for (const auto& [name, row] : summary.invokers()) by_invoker += row.sent;
+    for (const Second& each : summary.seconds()) by_second += each.ended.all(), taken_sum += each.taken;
+    EXPECT_EQ(by_function, 400u);
+    EXPECT_EQ(by_invoker, hops);
+    EXPECT_EQ(by_second, 400u);
+    EXPECT_EQ(taken_sum, 400u);
+    ASSERT_TRUE(summary.worst());
+    EXPECT_LE(summary.worst()->ended.badly(), plain.badly());
+    EXPECT_TRUE(std::any_of(summary.marks().begin(), summary.marks().end(), [](const Mark& m) { return m.what.find("drains") != std::string::npos; }));
+}
+
+TEST(Summary, PercentilesAreWithinTwoPercent) {
+    Spread spread;
+    EXPECT_EQ(spread.at(0.5), Time{});
+    for (int i = 1; i <= 10'000; ++i) spread.add(Time(i * 100));
+    for (const double part : {0.01, 0.5, 0.9, 0.99, 0.999})
+        EXPECT_NEAR(static_cast<double>(spread.at(part).count()), part * 1e6, part * 1e6 * 0.021) << part;
+    EXPECT_EQ(spread.at(1), Time(1'000'000));
+    Spread wide;
+    wide.add(Time(1));
+    wide.add(std::chrono::hours(1));
+    EXPECT_EQ(wide.at(0.1), Time(1));
+    EXPECT_EQ(wide.at(1), std::chrono::hours(1));
+}
+
+TEST(Summary, ItsTablesAreBounded) {
+    Summary summary(3, 10);
+    for (int i = 0; i < 20; ++i) {
+        Tale tale;
+        tale.begun = true;
+        tale.function = "f" + std::to_string(i);
+        tale.taken = tale.ended = std::chrono::seconds(i);
+        summary.add(tale);
+    }
+    summary.finish();
+    EXPECT_EQ(summary.functions().size(), 4u);
+    EXPECT_EQ(summary.functions().at("(others)").outcomes.all(), 17u);
+    EXPECT_EQ(summary.seconds().size(), 10u);
+    EXPECT_EQ(summary.all().outcomes.all(), 20u);
+}
+
+TEST(Summary, TheWorstTenSecondsAreThoseWithTheMostBadEnds) {
+    Summary summary;
+    auto end = [&](int second, JobState how) {
+        Tale tale;
+        tale.begun = true;
+        tale.taken = tale.ended = std::chrono::seconds(second);
+        tale.outcome = how;
+        summary.add(tale);
+    };
+    for (int s = 0; s < 60; ++s) end(s, JobState::honoured);
+    for (int s = 30; s < 38; ++s) end(s, JobState::bounced);
+    end(5, JobState::written_off);
+    summary.finish();
+    ASSERT_TRUE(summary.worst());
+    EXPECT_EQ(summary.worst()->ended.bounced, 8u);
+    EXPECT_LE(summary.worst()->from, 30s);
+    EXPECT_GE(summary.worst()->from, 28s);
+}
+
+TEST(Telling, JsonAndTraceEventsNameEachHop) {
+    const auto records = toy_trace({});
+    Names names(true);
+    for (const Record& each : records) names.feed(each);
+    for (const Tale& tale : tales_of(records)) {
+        const std::string json = json_of(tale, names);
+        EXPECT_NE(json.find("\"outcome\":\"" + tale.outcome_word() + "\""), std::string::npos);
+        const std::string events = chrome_events(tale, names);
+        std::size_t bars = 0;
+        for (std::size_t at = 0; (at = events.find("\"ph\":\"X\"", at)) != std::string::npos; ++at) ++bars;
+        EXPECT_GE(bars, tale.hops.size());
+    }
+}
+
+}  // namespace
+}  // namespace plumkeel::tale
