--- a/bench/gateway_cost.cpp
+++ b/bench/gateway_cost.cpp
@@ -133,7 +133,28 @@
     world.run();
 }
 
-void serve(bool with_invoker, const std::string& traces = "") {
+struct Recording {
+    std::string folder;  // empty: none
+    bool reasons{};
+    double stall_s{};  // the disk stands still for so long, once
+    double sample = 1;
+};
+
+// A file whose disk stands still for a while, once some has been written.
+class StallingFile : public trace::FileSink {
+public:
+    StallingFile(const std::string& name, double stall_s) : FileSink(name), stall_s_(stall_s) {}
+    void append(std::string_view bytes) override {
+        if (++appended_ == 20 && stall_s_ > 0) usleep(static_cast<useconds_t>(stall_s_ * 1e6));
+        FileSink::append(bytes);
+    }
+
+private:
+    const double stall_s_;
+    int appended_{};
+};
+
+void serve(bool with_invoker, const Recording& recording = {}) {
     net::RealWorld world;
     Charter charter;
     charter.listen = "127.0.0.1:" + std::to_string(gateway_port);
@@ -155,15 +176,24 @@
     Log log(world, charter.log);
     std::unique_ptr<trace::Recorder> recorder;
     trace::Recorded recorded;
-    if (!traces.empty()) {
-        trace::RecorderRules rules;
-        rules.folder = traces;
+    if (!recording.folder.empty()) {
+        trace::RecorderRules& rules = charter.trace;
+        rules.folder = recording.folder;
         rules.keep_files = 2;
-        recorder = std::make_unique<trace::Recorder>(rules, "cost", world.wall());
+        rules.reasons = recording.reasons;
+        rules.sample = recording.sample;
+        recorder = std::make_unique<trace::Recorder>(rules, "cost", world.wall(), [&](const std::string& name) {
+            return std::make_unique<StallingFile>(name, recording.stall_s);
+        });
         recorded = [&recorder](const trace::Record& record) { recorder->offer(record); };
     }
     gateway::Gateway gateway(world, charter, log, 1, std::move(recorded));
     if (gateway.open()) _exit(1);
+    if (recording.stall_s > 0)
+        world.at(Time(static_cast<Time::rep>((recording.stall_s + 1) * 1e6)), [&] {
+            fmt::print("  {} records written, {} dropped while the disk stood still\n", recorder->written(), recorder->dropped());
+            std::fflush(stdout);
+        });
     world.run();
 }
 
@@ -247,8 +277,11 @@
     app.add_option("--rounds", rounds)->capture_default_str();
     app.add_option("--connections", connections)->capture_default_str();
     app.add_option("--seconds", seconds, "a measurement")->capture_default_str();
-    std::string traces;
-    app.add_option("--recorder", traces, "a folder for traces: measure the gateway with its recorder against without");
+    Recording recording;
+    app.add_flag("--reasons", recording.reasons, "recorded with the invokers weighed for each job");
+    app.add_option("--stall", recording.stall_s, "seconds for which the recorder's disk stands still");
+    app.add_option("--sample", recording.sample, "part of the jobs that is recorded");
+    app.add_option("--recorder", recording.folder, "a folder for traces: measure the gateway with its recorder against without");
     int against = 0;
     app.add_option("--against", against, "load this gateway's port only, with an echoing invoker on 17501: for profiles");
     CLI11_PARSE(app, argc, argv);
@@ -260,9 +293,9 @@
         fmt::print("{:.0f} jobs/s, median {:.0f} us\n", f.per_s, f.median_us);
         return 0;
     }
-    auto measure = [&](bool gateway, int at_once, const std::string& folder = "") {
+    auto measure = [&](bool gateway, int at_once, const Recording& record = {}) {
         Child invoker(2, [] { echo(true); });
-        Child subject(1, [&] { gateway ? serve(true, folder) : proxy(); });
+        Child subject(1, [&] { gateway ? serve(true, record) : proxy(); });
         usleep(300'000);
         Figures out;
         int pipe_ends[2];
@@ -279,10 +312,10 @@
         ::close(pipe_ends[1]);
         return out;
     };
-    if (!traces.empty()) {
+    if (!recording.folder.empty()) {
         std::vector<double> shares, cores;
         for (int i = 0; i < rounds; ++i) {
-            const Figures without = measure(true, connections), with = measure(true, connections, traces);
+            const Figures without = measure(true, connections), with = measure(true, connections, recording);
             shares.push_back(with.per_s / without.per_s);
             cores.push_back(with.cpu_us / without.cpu_us);
             fmt::print("round {}: without {:.0f} jobs/s, p99 {:.0f} us, {:.1f} us of core a job; with {:.0f} jobs/s, p99 {:.0f} us, {:.1f} us; "
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,5 +1,6 @@
 // plumkeel: one binary, one command a task.
 #include <CLI/CLI.hpp>
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -27,6 +28,8 @@
 }
 
 int serve(const Charter& charter, std::optional<std::uint64_t> seed) {
+    // A file at its size limit is an error of that write, not the end of the controller.
+    std::signal(SIGXFSZ, SIG_IGN);
     net::RealWorld world;
     Log log(world, charter.log);
     const std::uint64_t chosen = seed ? *seed : std::random_device{}() | std::uint64_t{std::random_device{}()} << 32;
--- a/src/tale/stream.cpp
+++ b/src/tale/stream.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 
+#include "tale/listing.hpp"
 #include "trace/file.hpp"
 
 namespace plumkeel::tale {
@@ -345,7 +346,7 @@
     constexpr Time one_death = std::chrono::seconds(2);  // hops cut off within it end by the same one
     std::map<std::string, std::vector<Time>> out;
     std::map<std::string, Time> cut;
-    std::map<std::string, std::string> facts;  // of each invoker, as listed last
+    Listing listing;
     Names names(true);
     std::unordered_map<std::uint64_t, std::vector<std::string>> hops;  // of open jobs: where each went
     auto look = [&](const Record& record) {
@@ -369,13 +370,8 @@
                 out["cut " + who].push_back(part.begun() + record.at);
             cut[who] = record.at;
         } else if (record.kind == trace::fleet_changed) {
-            for (const auto& each : trace::unpack<trace::FleetChanged>(record.body).changed) {
-                const std::string who = names.invoker(each.invoker);
-                const std::string now = who + (each.ready ? " ready " : " not ready ") + std::to_string(each.units);
-                if (facts[who] == now) continue;
-                if (!facts[who].empty()) out["list " + now].push_back(part.begun() + record.at);
-                facts[who] = now;
-            }
+            for (const auto& news : listing.feed(trace::unpack<trace::FleetChanged>(record.body), names))
+                out[std::to_string(static_cast<int>(news.change)) + " " + news.who].push_back(part.begun() + record.at);
         }
     };
     part.rewind();
@@ -397,26 +393,50 @@
     return *middle;
 }
 
+// Of all differences the place where most lie close together: pairs that are not of the same happening scatter.
+std::optional<Offset> densest(std::vector<Time> differences) {
+    constexpr Time together = std::chrono::milliseconds(100);
+    constexpr std::size_t enough = 3;
+    std::sort(differences.begin(), differences.end());
+    std::size_t best = 0, most = 0;
+    for (std::size_t from = 0, to = 0; from < differences.size(); ++from) {
+        while (to < differences.size() && differences[to] - differences[from] <= together) ++to;
+        const bool nearer = most > 0 && std::chrono::abs(differences[from]) < std::chrono::abs(differences[best]);
+        if (to - from < most || (to - from == most && !nearer)) continue;
+        best = from;
+        most = to - from;
+    }
+    if (most < enough) return {};
+    std::vector<Time> close(differences.begin() + static_cast<std::ptrdiff_t>(best),
+                            differences.begin() + static_cast<std::ptrdiff_t>(best + most));
+    Offset out{median(close), most, {}};
+    for (Time& each : close) each = std::chrono::abs(each - out.offset);
+    out.spread = median(close);
+    return out;
+}
+
 }  // namespace
 
 std::vector<Offset> estimate_offsets(const std::vector<Chapters*>& parts) {
-    constexpr std::size_t enough = 3;
+    constexpr Time window = std::chrono::seconds(5);  // no clock is taken to be further off
     std::vector<Offset> out(parts.size());
     if (parts.size() < 2) return out;
-    const auto reference = happenings(*parts.front());
+    auto seen = happenings(*parts.front());  // by those aligned so far
     for (std::size_t i = 1; i < parts.size(); ++i) {
+        const auto own = happenings(*parts[i]);
         std::vector<Time> differences;
-        for (const auto& [what, times] : happenings(*parts[i])) {
-            const auto it = reference.find(what);
-            // The n-th with the n-th, and only where both saw as many: else it is not known which are the same.
-            if (it == reference.end() || it->second.size() != times.size()) continue;
-            for (std::size_t n = 0; n < times.size(); ++n) differences.push_back(it->second[n] - times[n]);
+        for (const auto& [what, times] : own) {
+            const auto it = seen.find(what);
+            if (it == seen.end()) continue;
+            for (const Time theirs : it->second)
+                for (const Time ours : times)
+                    if (std::chrono::abs(theirs - ours) <= window) differences.push_back(theirs - ours);
         }
-        if (differences.size() < enough) continue;
-        out[i].from = differences.size();
-        out[i].offset = median(differences);
-        for (Time& each : differences) each = std::chrono::abs(each - out[i].offset);
-        out[i].spread = median(differences);
+        const auto found = densest(std::move(differences));
+        if (!found) continue;
+        out[i] = *found;
+        for (const auto& [what, times] : own)
+            for (const Time each : times) seen[what].push_back(each + found->offset);
     }
     return out;
 }
--- a/src/tale/summary.cpp
+++ b/src/tale/summary.cpp
@@ -159,30 +159,12 @@
     if (record.kind == trace::list_broke) mark(record.at, "the list broke");
     if (record.kind != trace::fleet_changed) return;
     const auto told = trace::unpack<trace::FleetChanged>(record.body);
-    std::set<std::uint64_t> there;
-    const bool begins = !told.changed.empty() && begun_.insert(told.controller).second;
-    if (begins && record.at > std::chrono::seconds(1) && told.controller < names.controllers().size())
+    Listing& listing = listings_[told.controller];
+    const bool began = listing.begun();
+    static constexpr const char* words[] = {" is listed", " is ready", " drains", " has started again", " is gone from the list"};
+    for (const Listing::News& each : listing.feed(told, names)) mark(record.at, each.who + words[static_cast<int>(each.change)]);
+    if (!began && listing.begun() && record.at > std::chrono::seconds(1) && told.controller < names.controllers().size())
         mark(record.at, "controller " + names.controllers()[told.controller] + " begins");
-    for (const auto& each : told.changed) {
-        there.insert(each.invoker);
-        const std::string who = names.invoker(each.invoker);
-        const auto [it, fresh] = listed_.try_emplace({told.controller, each.invoker}, Listed{each.ready, each.started});
-        if (fresh) {
-            if (!begins) mark(record.at, who + " is listed");
-            continue;
-        }
-        if (it->second.ready != each.ready)
-            mark(record.at, who + (each.ready ? " is ready" : " drains"));
-        else if (it->second.started != each.started)
-            mark(record.at, who + " has started again");
-        it->second = {each.ready, each.started};
-    }
-    if (!told.complete) return;
-    std::erase_if(listed_, [&](const auto& each) {
-        if (each.first.first != told.controller || there.count(each.first.second)) return false;
-        mark(record.at, names.invoker(each.first.second) + " is gone from the list");
-        return true;
-    });
 }
 
 void Summary::finish() {
--- a/src/tale/summary.hpp
+++ b/src/tale/summary.hpp
@@ -4,8 +4,8 @@
 
 #include <boost/histogram.hpp>
 #include <map>
-#include <set>
 
+#include "tale/listing.hpp"
 #include "tale/tale.hpp"
 
 namespace plumkeel::tale {
@@ -90,10 +90,6 @@
     std::optional<Worst> worst(std::size_t length_s = 10) const;
 
 private:
-    struct Listed {
-        bool ready{};
-        std::optional<Time> started;
-    };
     template <class Row>
     Row& row(std::map<std::string, Row>& table, const std::string& name);
     Second* second(Time at);
@@ -106,8 +102,7 @@
     std::vector<Second> seconds_;
     std::vector<std::int64_t> parked_change_;  // by second
     std::vector<Mark> marks_;
-    std::map<std::pair<std::uint64_t, std::uint64_t>, Listed> listed_;  // by controller and invoker
-    std::set<std::uint64_t> begun_;  // controllers that have been told a list
+    std::map<std::uint64_t, Listing> listings_;  // by controller
     std::map<std::string, Time> marked_;
     std::map<std::string, std::vector<Time>> cuts_;  // lately, by invoker
 };
--- a/src/trace/calls.cpp
+++ b/src/trace/calls.cpp
@@ -164,7 +164,7 @@
 
     Invoker* invoker(std::uint64_t number) {
         const auto it = invokers.find(number);
-        if (it == invokers.end()) throw Fault("a record names an invoker that was never listed");
+        if (it == invokers.end() || !it->second->kind) throw Fault("a record names an invoker that was never listed");
         return it->second.get();
     }
     Function* function(std::uint64_t number) {
@@ -248,7 +248,9 @@
 Results Again::State::list(Time at, const FleetChanged& told) {
     std::vector<Invoker*> changed;
     for (const ListEntry& entry : told.changed) {
-        Invoker* one = invoker(entry.invoker);
+        const auto it = invokers.find(entry.invoker);
+        if (it == invokers.end()) throw Fault("a record lists an invoker that is not known");
+        Invoker* one = it->second.get();
         one->ready = entry.ready;
         one->units = entry.units;
         one->zone = entry.zone;
--- a/src/trace/format.cpp
+++ b/src/trace/format.cpp
@@ -91,6 +91,9 @@
     head.sum = get<std::uint64_t>(text, 56);
     head.place.offset = offset;
     if (head.raw > largest_block || head.packed > largest_block) return {};
+    // Such a head was never written, whatever its sum says.
+    for (const Time at : {head.place.first, head.place.last})
+        if (at.count() > longest_span || at.count() < -longest_span) return {};
     head.place.bytes = static_cast<std::uint32_t>(block_head_bytes + head.packed);
     head.place.names = (head.flags & Flag::names) != 0;
     return head;
@@ -211,6 +214,7 @@
     if (const auto needed = get<std::uint64_t>(head, 16) & ~known_features)
         throw Fault("the trace needs features that this reader lacks: " + std::to_string(needed));
     begun_ = Time(get<std::int64_t>(head, 24));
+    if (begun_.count() > longest_span || begun_.count() < -longest_span) throw Fault("the trace's head is damaged");
     finished_ = read_index();
     if (!finished_) scan();
 }
@@ -303,6 +307,8 @@
         rest.remove_prefix(1);
         whole = get_varint(rest, job) && get_varint(rest, length) && length <= rest.size();
         if (!whole) break;
+        whole = delta <= static_cast<std::uint64_t>(longest_span) && std::chrono::abs(at).count() <= longest_span;
+        if (!whole) break;
         at += Time(delta);
         into.push_back({at, kind, job, std::string(rest.substr(0, length))});
         rest.remove_prefix(length);
--- a/src/trace/format.hpp
+++ b/src/trace/format.hpp
@@ -16,6 +16,7 @@
 using Time = std::chrono::microseconds;
 
 constexpr std::uint32_t version = 1;
+constexpr std::int64_t longest_span = std::int64_t{1} << 55;  // microseconds, 1,100 years: sums of times can't overflow
 constexpr std::size_t largest_block = 16 * 1024 * 1024;  // unpacked; what claims more is damage
 
 struct Record {
--- a/src/trace/told.cpp
+++ b/src/trace/told.cpp
@@ -84,6 +84,7 @@
     void operator()(int& v) {
         std::int64_t wide = v;
         (*this)(wide);
+        if (wide < INT32_MIN || wide > INT32_MAX) throw Fault("a number of a record is out of all bounds");
         v = static_cast<int>(wide);
     }
     void operator()(bool& v) {
@@ -105,6 +106,7 @@
     void operator()(Time& v) {
         std::int64_t n = v.count();
         (*this)(n);
+        if (!Io::writes && (n > longest_span || n < -longest_span)) throw Fault("a time of a record is out of all bounds");
         v = Time(n);
     }
     void operator()(std::string& v) {
