--- a/src/trace/calls.cpp
+++ b/src/trace/calls.cpp
@@ -12,8 +12,13 @@
 
 // The same for the same answer, whoever's objects it points to.
 template <class FunctionNumber, class InvokerNumber>
-Answer answer_of(const Results& r, FunctionNumber function, InvokerNumber invoker) {
-    Answer out;
+void fill(Answer& out, const Results& r, FunctionNumber function, InvokerNumber invoker) {
+    out.called_off.clear();
+    out.answered.clear();
+    out.started.clear();
+    out.probed.clear();
+    out.ordered.clear();
+    out.forgotten.clear();
     for (const Hop* hop : r.called_off) out.called_off.push_back({hop->job->id, static_cast<std::uint64_t>(hop->number)});
     for (const Job* job : r.answered) out.answered.push_back({job->id, job->state, job->retry_after});
     for (const Hop* hop : r.started)
@@ -24,7 +29,6 @@
     for (const Function* each : r.forgotten) out.forgotten.push_back(function(*each));
     out.follow_list = r.follow_list;
     out.next_wake = r.next_wake;
-    return out;
 }
 
 Time span_of(double seconds) {
@@ -32,12 +36,15 @@
 }
 
 template <class InvokerNumber>
-TurnedTo turned_of(const Turned& t, InvokerNumber invoker) {
-    TurnedTo out{t.to, t.why, t.to == JobState::bounced ? t.job->retry_after : Time{}, {}, {}};
+void fill(TurnedTo& out, const Turned& t, InvokerNumber invoker) {
+    out.to = t.to;
+    out.why = t.why;
+    out.pause = t.to == JobState::bounced ? t.job->retry_after : Time{};
+    out.sent.reset();
+    out.weighed.clear();
     if (t.hop) out.sent = {static_cast<std::uint64_t>(t.hop->number), invoker(*t.hop->invoker), t.hop->loads, t.hop->expected_warm};
     for (const Weighed& each : t.weighed)
         out.weighed.push_back({invoker(*each.invoker), span_of(each.finish), span_of(each.wait), each.warm, each.bar});
-    return out;
 }
 
 }  // namespace
@@ -49,18 +56,32 @@
     for (const Tenant* each : tenants) tenants_.emplace(each, tenants_.size());
     if (!recorded_) return;
     controller_.tell(reasons ? Tell::weighed : Tell::turns);
-    record(Time{}, Told::settings, 0, pack(start));
+    record(Time{}, Told::settings, 0, start);
+}
+
+template <class T>
+void Watched::record(Time now, Told kind, std::uint64_t job, const T& told) {
+    pack_into(record_.body, told);
+    record_.at = now;
+    record_.kind = kind;
+    record_.job = job;
+    recorded_(record_);
+}
+
+void Watched::record(Time now, Told kind, std::uint64_t job) {
+    record_ = {now, kind, job, ""};
+    recorded_(record_);
 }
 
 std::uint64_t Watched::number_of(const Function& function, Time now) {
     const auto [it, fresh] = functions_.try_emplace(&function, functions_known_);
-    if (fresh) record(now, Told::function_known, 0, pack(Known{functions_known_++, function.name}));
+    if (fresh) record(now, Told::function_known, 0, Known{functions_known_++, function.name});
     return it->second;
 }
 
 std::uint64_t Watched::number_of(const Invoker& invoker, Time now) {
     const auto [it, fresh] = invokers_.try_emplace(&invoker, invokers_.size());
-    if (fresh) record(now, Told::invoker_known, 0, pack(Known{it->second, invoker.name}));
+    if (fresh) record(now, Told::invoker_known, 0, Known{it->second, invoker.name});
     return it->second;
 }
 
@@ -68,11 +89,15 @@
     if (!recorded_) return results;
     const auto function = [&](const Function& f) { return number_of(f, now); };
     const auto invoker = [&](const Invoker& i) { return number_of(i, now); };
-    record(now, Told::answered, job, pack(answer_of(results, function, invoker)));
-    for (const Turned& each : results.turned) record(now, Told::turned, each.job->id, pack(turned_of(each, invoker)));
+    fill(answer_, results, function, invoker);
+    record(now, Told::answered, job, answer_);
+    for (const Turned& each : results.turned) {
+        fill(turned_, each, invoker);
+        record(now, Told::turned, each.job->id, turned_);
+    }
     for (const Function* each : results.forgotten) {
         const auto known = functions_.find(each);
-        record(now, Told::function_forgotten, 0, pack(Forgotten{known->second}));
+        record(now, Told::function_forgotten, 0, Forgotten{known->second});
         functions_.erase(known);
     }
     return results;
@@ -82,8 +107,8 @@
     if (recorded_) {
         const Function& function = *job.function;
         record(now, Told::take, job.id,
-               pack(Taken{use_cases_.at(job.use_case), job.tenant ? 1 + tenants_.at(job.tenant) : 0,
-                          number_of(function, now), function.lanes, function.told_load, job.time_left, job.again}));
+               Taken{use_cases_.at(job.use_case), job.tenant ? 1 + tenants_.at(job.tenant) : 0, number_of(function, now),
+                     function.lanes, function.told_load, job.time_left, job.again});
     }
     const std::uint64_t id = job.id;
     return tell(now, id, controller_.take(now, job));
@@ -91,20 +116,20 @@
 
 Results Watched::hop_accepted(Time now, Hop& hop) {
     const std::uint64_t id = hop.job->id;
-    if (recorded_) record(now, Told::hop_accepted, id, pack(HopAccepted{static_cast<std::uint64_t>(hop.number)}));
+    if (recorded_) record(now, Told::hop_accepted, id, HopAccepted{static_cast<std::uint64_t>(hop.number)});
     return tell(now, id, controller_.hop_accepted(now, hop));
 }
 
 Results Watched::hop_ended(Time now, Hop& hop, Ending ending, Note note, int company, const Report& report) {
     const std::uint64_t id = hop.job->id;
     if (recorded_)
-        record(now, Told::hop_ended, id, pack(HopEnded{static_cast<std::uint64_t>(hop.number), ending, note, company, report}));
+        record(now, Told::hop_ended, id, HopEnded{static_cast<std::uint64_t>(hop.number), ending, note, company, report});
     return tell(now, id, controller_.hop_ended(now, hop, ending, note, company, report));
 }
 
 Results Watched::client_left(Time now, Job& job) {
     const std::uint64_t id = job.id;
-    if (recorded_) record(now, Told::client_left, id, "");
+    if (recorded_) record(now, Told::client_left, id);
     return tell(now, id, controller_.client_left(now, job));
 }
 
@@ -114,31 +139,31 @@
         for (const Invoker* each : changed)
             told.changed.push_back({number_of(*each, now), each->ready, each->units, each->zone,
                                     kinds_.try_emplace(each->kind, kinds_.size()).first->second, each->cell, each->started});
-        record(now, Told::fleet_changed, 0, pack(told));
+        record(now, Told::fleet_changed, 0, told);
     }
     return tell(now, 0, controller_.fleet_changed(now, changed, complete));
 }
 
 Results Watched::list_broke(Time now) {
-    if (recorded_) record(now, Told::list_broke, 0, "");
+    if (recorded_) record(now, Told::list_broke, 0);
     return tell(now, 0, controller_.list_broke(now));
 }
 
 Results Watched::probe_answered(Time now, Invoker& invoker, bool came, const Report& report) {
-    if (recorded_) record(now, Told::probe_answered, 0, pack(ProbeAnswered{number_of(invoker, now), came, report}));
+    if (recorded_) record(now, Told::probe_answered, 0, ProbeAnswered{number_of(invoker, now), came, report});
     return tell(now, 0, controller_.probe_answered(now, invoker, came, report));
 }
 
 Results Watched::load_answered(Time now, Function& function, Invoker& invoker, Ending ending, int copies) {
     if (recorded_) {
         const LoadAnswered told{number_of(function, now), number_of(invoker, now), ending, copies};
-        record(now, Told::load_answered, 0, pack(told));
+        record(now, Told::load_answered, 0, told);
     }
     return tell(now, 0, controller_.load_answered(now, function, invoker, ending, copies));
 }
 
 Results Watched::wake(Time now) {
-    if (recorded_) record(now, Told::wake, 0, "");
+    if (recorded_) record(now, Told::wake, 0);
     return tell(now, 0, controller_.wake(now));
 }
 
@@ -356,9 +381,14 @@
         if (const auto results = s.decide(record)) {
             const auto function = [&](const Function& f) { return s.numbers.at(&f); };
             const auto invoker = [&](const Invoker& i) { return s.places.at(&i); };
-            s.now = pack(answer_of(*results, function, invoker));
-            for (const Turned& each : results->turned)
-                s.reasons({record.at, Told::turned, each.job->id, pack(turned_of(each, invoker))});
+            Answer answer;
+            fill(answer, *results, function, invoker);
+            s.now = pack(answer);
+            for (const Turned& each : results->turned) {
+                TurnedTo told;
+                fill(told, each, invoker);
+                s.reasons({record.at, Told::turned, each.job->id, pack(told)});
+            }
             s.settle(*results);
         }
         return;
--- a/src/trace/calls.hpp
+++ b/src/trace/calls.hpp
@@ -35,7 +35,9 @@
 private:
     std::uint64_t number_of(const Function& function, Time now);
     std::uint64_t number_of(const Invoker& invoker, Time now);
-    void record(Time now, Told kind, std::uint64_t job, std::string body) { recorded_({now, kind, job, std::move(body)}); }
+    template <class T>
+    void record(Time now, Told kind, std::uint64_t job, const T& told);
+    void record(Time now, Told kind, std::uint64_t job);
     Results tell(Time now, std::uint64_t job, Results results);
 
     Controller controller_;
@@ -46,6 +48,10 @@
     std::unordered_map<const Invoker*, std::uint64_t> invokers_;
     std::unordered_map<const Kind*, std::uint64_t> kinds_;  // told apart by their objects alone
     std::uint64_t functions_known_{};
+    // Used again for each record, so that recording allocates nothing.
+    Record record_;
+    Answer answer_;
+    TurnedTo turned_;
 };
 
 struct Difference {
--- a/src/trace/format.cpp
+++ b/src/trace/format.cpp
@@ -111,8 +111,16 @@
 
 }  // namespace
 
+struct Writer::Press {
+    ZSTD_CCtx* work = ZSTD_createCCtx();
+    ~Press() { ZSTD_freeCCtx(work); }
+};
+
+Writer::~Writer() = default;
+
 Writer::Writer(Sink& sink, Time begun, std::size_t block_bytes, int level)
-    : sink_(sink), block_bytes_(std::min(block_bytes, largest_block / 2)), level_(level) {
+    : sink_(sink), block_bytes_(std::min(block_bytes, largest_block / 2)), level_(level), press_(std::make_unique<Press>()) {
+    if (!press_->work) throw std::bad_alloc();
     std::string head(file_mark);
     put(head, version);
     put(head, std::uint32_t{head_bytes});
@@ -154,8 +162,10 @@
 }
 
 void Writer::put_block(std::uint16_t kind, std::uint16_t flags, std::string_view raw, const Place& place) {
-    std::string packed(ZSTD_compressBound(raw.size()), '\0');
-    packed.resize(ZSTD_compress(packed.data(), packed.size(), raw.data(), raw.size(), level_));
+    if (const std::size_t room = ZSTD_compressBound(raw.size()); packed_.size() < room) packed_.resize(room);
+    const std::size_t n = ZSTD_compressCCtx(press_->work, packed_.data(), packed_.size(), raw.data(), raw.size(), level_);
+    if (ZSTD_isError(n)) throw Fault(std::string("a block can't be packed: ") + ZSTD_getErrorName(n));
+    const std::string_view packed(packed_.data(), n);
     BlockHead head{kind, flags, static_cast<std::uint32_t>(raw.size()), static_cast<std::uint32_t>(packed.size()), place,
                    XXH3_64bits(packed.data(), packed.size())};
     const std::string text = text_of(head);
@@ -165,7 +175,7 @@
         known.bytes = static_cast<std::uint32_t>(text.size() + packed.size());
         places_.push_back(known);
     }
-    sink_.append(text + packed);  // in one piece: a cut leaves a torn last block and no other harm
+    sink_.append(text + std::string(packed));  // in one piece: a cut leaves a torn last block and no other harm
     offset_ += text.size() + packed.size();
     raw_ += raw.size();
 }
--- a/src/trace/format.hpp
+++ b/src/trace/format.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -63,6 +64,7 @@
 public:
     // Writes the head. `begun` is the start of the trace, since the Unix epoch.
     Writer(Sink& sink, Time begun, std::size_t block_bytes = 256 * 1024, int level = 3);
+    ~Writer();
     void add(const Record& record);
     void flush();   // ends the block at hand
     void finish();  // index and footer; nothing is added after it
@@ -73,10 +75,13 @@
 private:
     void put_block(std::uint16_t kind, std::uint16_t flags, std::string_view raw, const Place& place);
 
+    struct Press;  // zstd's workspace
+
     Sink& sink_;
     const std::size_t block_bytes_;
     const int level_;
-    std::string block_;
+    std::unique_ptr<Press> press_;
+    std::string block_, packed_;
     Place place_;
     Time last_{};
     std::uint64_t offset_{}, raw_{};
--- a/src/trace/recorder.cpp
+++ b/src/trace/recorder.cpp
@@ -16,10 +16,6 @@
     return record.kind > 0 && record.kind <= last_of_names && record.kind != Told::gap;
 }
 
-std::size_t bytes_of(const Record& record) {
-    return record.body.size() + sizeof(Record);
-}
-
 // When a file of an earlier run was written last, since the Unix epoch.
 Time last_of(const std::filesystem::path& file) {
     std::error_code ignored;
@@ -72,42 +68,64 @@
     close_file();
 }
 
+void Recorder::Batch::add(const Record& record) {
+    entries.push_back({record.at, record.job, static_cast<std::uint32_t>(record.body.size()), record.kind});
+    bodies += record.body;
+}
+
+void Recorder::Batch::walk(const std::function<void(const Record&)>& each) const {
+    Record record;
+    std::size_t from = 0;
+    for (const Entry& entry : entries) {
+        record.at = entry.at;
+        record.kind = entry.kind;
+        record.job = entry.job;
+        record.body.assign(bodies, from, entry.length);
+        from += entry.length;
+        each(record);
+    }
+}
+
 void Recorder::offer(const Record& record) {
-    gathering_.records.push_back(record);
-    gathering_.bytes += bytes_of(record);
-    if (gathering_.bytes >= batch_bytes) flush();
+    if (gathering_.entries.capacity() == 0) {
+        gathering_.entries.reserve(batch_bytes / 32);
+        gathering_.bodies.reserve(batch_bytes);
+    }
+    gathering_.add(record);
+    if (gathering_.bytes() >= batch_bytes) flush();
 }
 
 void Recorder::flush() {
-    if (gathering_.records.empty()) return;
+    if (gathering_.entries.empty()) return;
     Batch batch = std::exchange(gathering_, {});
     const std::lock_guard held(lock_);
-    if (waiting_bytes_ + batch.bytes > rules_.memory_bytes) {
-        dropped_here_.records += batch.records.size();
-        dropped_here_.bytes += batch.bytes;
-        dropped_ += batch.records.size();
+    if (waiting_bytes_ + batch.bytes() > rules_.memory_bytes) {
+        dropped_here_.records += batch.entries.size();
+        dropped_here_.bytes += batch.bytes();
+        dropped_ += batch.entries.size();
         return keep_names(batch);
     }
     if (dropped_here_.records > 0) {
-        const Time at = batch.records.front().at;
-        std::vector<Record> first = {{at, Told::gap, 0, pack(std::exchange(dropped_here_, {}))}};
-        for (Record& each : names_.records) first.push_back({at, each.kind, each.job, std::move(each.body)});
-        batch.bytes += names_.bytes;
-        names_ = {};
-        batch.records.insert(batch.records.begin(), first.begin(), first.end());
+        const Time at = batch.entries.front().at;
+        Batch first;
+        first.add({at, Told::gap, 0, pack(std::exchange(dropped_here_, {}))});
+        std::exchange(names_, {}).walk([&](const Record& record) { first.add({at, record.kind, record.job, record.body}); });
+        hand_over(std::move(first));
     }
-    waiting_bytes_ += batch.bytes;
-    waiting_.push_back(std::move(batch));
+    hand_over(std::move(batch));
     wake_.notify_one();
 }
 
+void Recorder::hand_over(Batch batch) {
+    waiting_bytes_ += batch.bytes();
+    waiting_.push_back(std::move(batch));
+}
+
 // Without its names, what comes after a gap would be told in numbers only.
-void Recorder::keep_names(Batch& dropped) {
-    for (Record& each : dropped.records) {
-        if (!is_name(each) || names_.bytes > kept_names_bytes) continue;
-        names_.bytes += bytes_of(each);
-        names_.records.push_back(std::move(each));
-    }
+void Recorder::keep_names(const Batch& dropped) {
+    dropped.walk([this](const Record& record) {
+        if (is_name(record) && names_.bytes() < kept_names_bytes) names_.add(record);
+    });
 }
 
 void Recorder::run() {
@@ -122,36 +140,36 @@
         }
         write(batch);
         const std::lock_guard held(lock_);
-        waiting_bytes_ -= batch.bytes;  // only now: what is being written still takes its memory
+        waiting_bytes_ -= batch.bytes();  // only now: what is being written still takes its memory
     }
 }
 
 // A disk that is full or broken costs this batch; the next one tries a file of its own.
 void Recorder::write(const Batch& batch) {
-    const Time at = batch.records.front().at;
+    const Time at = batch.entries.front().at;
     try {
         if (!at_work_) begin_file(at);
         if (lost_.records > 0)  // deciding again must not run on over what the disk did not take
             put({at, Told::gap, 0, pack(lost_)});
-        for (const Record& record : batch.records) {
+        batch.walk([this](const Record& record) {
             if (sampler_)
-                sampler_->feed(record, [&](const Record& kept) { put(kept); });
+                sampler_->feed(record, [this](const Record& kept) { put(kept); });
             else
                 put(record);
-        }
+        });
         at_work_->writer.flush();
         lost_ = {};
-        written_ += batch.records.size();
-        const Time last = batch.records.back().at;
+        written_ += batch.entries.size();
+        const Time last = batch.entries.back().at;
         files_.back().last = begun_ + last;
         const bool old = rules_.file_for > Time{} && last - at_work_->first >= rules_.file_for;
         if (at_work_->writer.offset() >= rules_.file_bytes || old) close_file();
     } catch (const Fault&) {
         at_work_.reset();
-        for (const Record& record : batch.records) carry(record);
-        dropped_ += batch.records.size();
-        lost_.records += batch.records.size();
-        lost_.bytes += batch.bytes;
+        batch.walk([this](const Record& record) { carry(record); });
+        dropped_ += batch.entries.size();
+        lost_.records += batch.entries.size();
+        lost_.bytes += batch.bytes();
     }
 }
 
--- a/src/trace/recorder.hpp
+++ b/src/trace/recorder.hpp
@@ -42,9 +42,20 @@
     const std::string& file() const { return first_file_; }
 
 private:
+    // Records in one piece of memory: the deciding thread allocates once a batch.
     struct Batch {
-        std::vector<Record> records;
-        std::size_t bytes{};
+        struct Entry {
+            Time at{};
+            std::uint64_t job{};
+            std::uint32_t length{};
+            std::uint8_t kind{};
+        };
+        std::vector<Entry> entries;
+        std::string bodies;
+
+        void add(const Record& record);
+        std::size_t bytes() const { return bodies.size() + entries.size() * sizeof(Entry); }
+        void walk(const std::function<void(const Record&)>& each) const;
     };
     struct Written {
         std::string name;
@@ -54,7 +65,8 @@
     void write(const Batch& batch);
     void put(const Record& record);
     void carry(const Record& record);
-    void keep_names(Batch& dropped);
+    void keep_names(const Batch& dropped);
+    void hand_over(Batch batch);
     void begin_file(Time at);
     void close_file();
     void remove_old(Time at);
--- a/src/trace/told.cpp
+++ b/src/trace/told.cpp
@@ -9,14 +9,21 @@
 class Out {
 public:
     static constexpr bool writes = true;
-    std::string bytes;
+    explicit Out(std::string& into) : bytes(into) {}
+    std::string& bytes;
 
     void number(std::uint64_t value) {
-        for (; value >= 0x80; value >>= 7) bytes.push_back(static_cast<char>(value | 0x80));
-        bytes.push_back(static_cast<char>(value));
+        if (value < 0x80) return bytes.push_back(static_cast<char>(value));
+        char text[10];
+        std::size_t n = 0;
+        for (; value >= 0x80; value >>= 7) text[n++] = static_cast<char>(value | 0x80);
+        text[n++] = static_cast<char>(value);
+        bytes.append(text, n);
     }
     void fixed(std::uint64_t value) {
-        for (int i = 0; i < 8; ++i) bytes.push_back(static_cast<char>(value >> (8 * i)));
+        char text[8];
+        for (int i = 0; i < 8; ++i) text[i] = static_cast<char>(value >> (8 * i));
+        bytes.append(text, 8);
     }
     void text(const std::string& value) {
         number(value.size());
@@ -271,10 +278,17 @@
 
 template <class T>
 std::string pack(const T& told) {
-    Out out;
+    std::string out;
+    pack_into(out, told);
+    return out;
+}
+
+template <class T>
+void pack_into(std::string& into, const T& told) {
+    into.clear();
+    Out out(into);
     Both<Out> both{out};
     body(both, const_cast<T&>(told));  // writing changes nothing
-    return std::move(out.bytes);
 }
 
 template <class T>
@@ -289,6 +303,7 @@
 
 #define PLUMKEEL_TOLD(T)                  \
     template std::string pack<T>(const T&); \
+    template void pack_into<T>(std::string&, const T&); \
     template T unpack<T>(std::string_view);
 PLUMKEEL_TOLD(Start)
 PLUMKEEL_TOLD(Known)
--- a/src/trace/told.hpp
+++ b/src/trace/told.hpp
@@ -173,6 +173,9 @@
 // One pair for each of the above.
 template <class T>
 std::string pack(const T& told);
+// The same into a string that is used again and again: nothing is allocated once it is large enough.
+template <class T>
+void pack_into(std::string& body, const T& told);
 template <class T>
 T unpack(std::string_view body);
 
