A torn end of a trace is no gap before what was read

Cause: damage known at opening, with nothing behind it, was told as a gap before the first record, so that a killed writer's trace could not be decided again. Change: only damage with records behind it is a gap; a torn end shows in the next file's count.

--- a/src/tale/stream.cpp
+++ b/src/tale/stream.cpp
@@ -121,7 +121,7 @@
     std::uint64_t bytes = 0;
     for (; damage_told_ < reader.damage().size(); ++damage_told_) {
         const trace::Damage& harm = reader.damage()[damage_told_];
-        if (harm.before && *harm.before > block_.front().at) break;
+        if (!harm.before || *harm.before > block_.front().at) break;  // a torn end shows in the next file's count
         bytes += harm.bytes;
     }
     if (bytes > 0) first = Record{block_.front().at, trace::gap, 0, trace::pack(trace::Gap{0, bytes})};
--- a/tests/tale_test.cpp
+++ b/tests/tale_test.cpp
@@ -282,6 +282,20 @@
     EXPECT_GT(got.size(), records.size() * 3 / 4);
 }
 
+TEST(Chapters, ATornEndIsNoGapBeforeWhatWasRead) {
+    const auto records = toy_trace({});
+    Shelf shelf;
+    shelf.put("one", records);
+    shelf.files["one"].bytes.resize(shelf.files["one"].bytes.size() * 2 / 3);
+    auto parts = open_all({"one"}, shelf.open());
+    trace::Again again;
+    std::uint64_t n = 0;
+    while (const auto record = parts[0]->next()) again.feed(*record), ++n;
+    EXPECT_GT(n, records.size() / 2);
+    EXPECT_FALSE(again.compare().first);
+    EXPECT_GT(again.compare().jobs, 200u);
+}
+
 TEST(Chapters, FromAMomentOnAllNamesAreKnown) {
     const auto records = toy_trace({});
     Shelf shelf = three_files(records);
