--- a/src/charter/charter.cpp
+++ b/src/charter/charter.cpp
@@ -157,6 +157,14 @@
     if (trace.block_bytes > trace::largest_block / 2) in.complain("block_bytes", "is over 8388608");
 }
 
+void read_metrics(Reader& in, Measurements& metrics) {
+    in.read("on", metrics.on);
+    in.read("tenants", metrics.rules.tenants, 1);
+    in.read("functions", metrics.rules.functions, 1);
+    in.read("every", metrics.rules.every);
+    if (metrics.rules.every < std::chrono::milliseconds(100)) in.complain("every", "is under 100ms");
+}
+
 }  // namespace
 
 Charter read_charter(const std::string& file, const std::map<std::string, std::string>& given) {
@@ -174,6 +182,7 @@
     in.within("lines", [&](Reader& part) { read_lines(part, charter.lines); });
     in.within("log", [&](Reader& part) { read_log(part, charter.log); });
     in.within("trace", [&](Reader& part) { read_trace(part, charter.trace); });
+    in.within("metrics", [&](Reader& part) { read_metrics(part, charter.metrics); });
     in.members("use_cases", [&](const std::string& name, Reader& part) {
         read_use_case(name, part, charter.use_cases[name]);
     });
--- a/src/charter/charter.hpp
+++ b/src/charter/charter.hpp
@@ -9,6 +9,7 @@
 #include "charter/reader.hpp"
 #include "dispatch/types.hpp"
 #include "door/door.hpp"
+#include "metrics/rules.hpp"
 #include "trace/recorder.hpp"
 
 namespace plumkeel {
@@ -50,6 +51,11 @@
     std::size_t queued = 8192;
 };
 
+struct Measurements {
+    bool on = true;
+    metrics::MeterRules rules;
+};
+
 struct Charter {
     std::string name = "controller";
     std::string listen = "127.0.0.1:7400";
@@ -60,6 +66,7 @@
     LineRules lines;
     LogRules log;
     trace::RecorderRules trace;
+    Measurements metrics;
     bool says_company = true;
     std::map<std::string, StatedUseCase, std::less<>> use_cases;
     std::map<std::string, Tenant> tenants;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -40,6 +40,9 @@
         recorded = [&recorder](const trace::Record& record) { recorder->offer(record); };
     }
     gateway::Gateway gateway(world, charter, log, chosen, std::move(recorded));
+    gateway.measure_also([&](metrics::Levels& levels) {
+        if (recorder) levels.recorder_dropped = static_cast<double>(recorder->dropped());
+    });
     if (const net::Error error = gateway.open()) {
         std::string why = error.message();
         if (error == net::asio::error::address_in_use)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -108,9 +108,13 @@
       controller_(start_of(charter_, seed), use_cases_of(charter_), tenants_of(tenants_), std::move(recorded),
                   charter_.trace.reasons),
       roster_(world, charter_.list, incarnation_, log, seed,
-              [this](const auto& changed, bool complete) { fleet_told(changed, complete); }) {}
+              [this](const auto& changed, bool complete) { fleet_told(changed, complete); }) {
+    if (charter_.metrics.on) meters_ = std::make_unique<metrics::Meters>(charter_.metrics.rules, charter_.name);
+}
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway() {
+    world_.drop(look_);
+}
 
 net::Error Gateway::open() {
     const auto address = net::Address::parse(charter_.listen);
@@ -122,6 +126,8 @@
         fixed.push_back({each.name, each.address, each.zone, each.kind, true, each.units, each.cell, {}});
     fleet_told(fixed, true);
     if (!charter_.list.consul.empty()) roster_.follow();
+    look_at_ = world_.now();
+    if (meters_) look();
     world_.spawn(accept());
     return {};
 }
@@ -226,7 +232,10 @@
     ward.function = function.get();
     ward.time_left = wanted.left;
     ward.again = wanted.again;
-    if (const auto tenant = tenants_.find(wanted.tenant); tenant != tenants_.end()) ward.tenant = &tenant->second;
+    if (const auto tenant = tenants_.find(wanted.tenant); tenant != tenants_.end()) {
+        ward.tenant = &tenant->second;
+        ward.tenant_name = tenant->first;
+    }
     ward.visit = std::move(visit);
     ward.held = wanted.held;
     http::HeadWriter tail("");
@@ -240,6 +249,7 @@
     ward.body = std::make_shared<const std::string>(std::move(wanted.body));
     jobs_[ward.id] = std::move(fresh);
     ++tally_.taken;
+    if (meters_) meters_->job_taken();
 
     feed([&](trace::Watched& it, Time now) { return it.take(now, ward); });
     const auto still = jobs_.find(ids_);
@@ -274,6 +284,8 @@
         return;
     }
     const bool late = ward.answered();
+    if (meters_)
+        meters_->hop_ended({outcome.ending, outcome.note, errand.hop.expected_warm, errand.hop.loads, world_.now() - errand.hop.sent});
     const bool whole = outcome.ending == Ending::honoured;
     if (late && whole) ++tally_.late;
     if (log_.wants(Log::Level::debug))
@@ -326,6 +338,7 @@
         post->zone = entry.zone;
         post->kind = &kinds_[entry.kind];
         post->cell = entry.cell;
+        post->drains_since = entry.ready ? std::nullopt : post->drains_since ? post->drains_since : world_.now();
         post->started.reset();
         if (entry.started) post->started = *entry.started - zero;
         const auto address = net::Address::parse(entry.address);
@@ -338,7 +351,10 @@
     feed([&](trace::Watched& it, Time now) { return it.fleet_changed(now, invokers, complete); });
     // The module sends nothing new to what takes no more; what waits here for a connection is new as well.
     for (const auto& [name, post] : posts_)
-        if (!post->ready || !post->listed) post->lines->withdraw();
+        if (!post->ready || !post->listed) {
+            if (!post->drains_since) post->drains_since = world_.now();
+            post->lines->withdraw();
+        }
 }
 
 // ---------------------------------------------------------------- carrying out
@@ -388,6 +404,7 @@
 
 void Gateway::send_probe(Post& post) {
     ++tally_.probes;
+    if (meters_) meters_->probe_sent();
     const auto errand = std::make_shared<ProbeErrand>(*this, post);
     fill(*errand, fmt::format("GET /v1/load HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n\r\n", post.name, field::controller, incarnation_),
          charter_.lines.probe_within);
@@ -396,6 +413,7 @@
 
 void Gateway::send_order(const CopyOrder& order) {
     ++tally_.orders;
+    if (meters_) meters_->copies_ordered();
     Post& post = static_cast<Post&>(*order.invoker);
     const auto errand = std::make_shared<OrderErrand>(*this, post, order.function->name, order.copies > 0);
     const std::string copies = order.copies > 0 ? fmt::format("{}: {}\r\n", field::copies, order.copies) : "";
@@ -422,6 +440,11 @@
 void Gateway::count(const Ward& ward) {
     door_.job_left();
     door_.let_go(ward.held);
+    if (meters_) {
+        const Time now = world_.now(), left = ward.hops.empty() ? now : ward.hops.front().sent;
+        meters_->job_ended({static_cast<const StatedUseCase*>(ward.use_case)->name, ward.tenant_name, ward.function->name, ward.state, ward.why,
+                            now > ward.promised, now - ward.taken, left - ward.taken, ward.hops.size()});
+    }
     switch (ward.state) {
         case JobState::honoured:
             ++tally_.honoured;
@@ -445,6 +468,56 @@
     if (ward.closed()) jobs_.erase(ward.id);
 }
 
+// Levels are looked at now and then, by one timer; how late it comes tells how long the controller stood still.
+void Gateway::look() {
+    metrics::Levels now = levels();
+    now.lag_s = std::max(0.0, std::chrono::duration<double>(world_.now() - look_at_).count());
+    if (measure_also_) measure_also_(now);
+    meters_->set(now);
+    constexpr std::uint64_t looks_a_review = 5;
+    if (++looks_ % looks_a_review == 0) meters_->review();
+    look_at_ = world_.now() + charter_.metrics.rules.every;
+    look_ = world_.at(look_at_, [this] { look(); });
+}
+
+metrics::Levels Gateway::levels() const {
+    const auto in_seconds = [](Time t) { return std::chrono::duration<double>(t).count(); };
+    metrics::Levels out;
+    out.open_jobs = static_cast<double>(door_.open_jobs());
+    out.held_bytes = static_cast<double>(door_.held_bytes());
+    out.connections = static_cast<double>(door_.connections());
+    out.functions = static_cast<double>(functions_.size());
+    for (const auto& [name, function] : functions_) out.parked += static_cast<double>(function->parked.size());
+    std::vector<double> paces;
+    for (const auto& [name, post] : posts_) {
+        out.lines_open += static_cast<double>(post->lines->open());
+        if (post->drains_since && !post->out.empty()) out.oldest_drain_s = std::max(out.oldest_drain_s, in_seconds(world_.now() - *post->drains_since));
+        if (!post->ready || !post->listed) {
+            ++out.not_ready;
+            continue;
+        }
+        out.cold += post->cold_since.has_value();
+        paces.push_back(post->pace * post->press);
+        double* const by_standing[] = {&out.trusted, &out.suspect, &out.aside, &out.easing};
+        ++*by_standing[static_cast<int>(post->standing)];
+        if (post->standing == Standing::suspect || post->standing == Standing::aside) out.out_at_doubted += static_cast<double>(post->out.size());
+    }
+    if (!paces.empty()) {
+        const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+        std::nth_element(paces.begin(), middle, paces.end());
+        out.pace_median = *middle;
+        out.pace_worst = *std::max_element(paces.begin(), paces.end());
+    }
+    if (const auto& told_at = roster_.follower().told()) out.list_age_s = in_seconds(world_.now() - *told_at);
+    out.log_lost = static_cast<double>(log_.lost());
+    out.unreachable = static_cast<double>(line_counts_.unreachable);
+    for (int i = 1; i < static_cast<int>(Objection::count_); ++i) {
+        const auto objection = static_cast<Objection>(i);
+        if (door_.counted(objection)) out.turned_back[std::string(told(objection).word)] = static_cast<double>(door_.counted(objection));
+    }
+    return out;
+}
+
 boost::json::object Gateway::status() const {
     boost::json::object door;
     for (int i = 1; i < static_cast<int>(Objection::count_); ++i) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -14,6 +14,7 @@
 #include "fleet/roster.hpp"
 #include "gateway/lines.hpp"
 #include "log/log.hpp"
+#include "metrics/meters.hpp"
 #include "net/world.hpp"
 #include "trace/calls.hpp"
 
@@ -41,12 +42,14 @@
     std::string tail;              // the head of its hops, but for what differs from hop to hop
     std::shared_ptr<const std::string> body;
     std::size_t held{};  // bytes counted at the door
+    std::string_view tenant_name;  // empty: none that the settings name
     std::vector<std::shared_ptr<HopErrand>> errands;
     const HopErrand* streams{};  // whose answer is being passed on
 };
 
 struct Post : Invoker {
     std::unique_ptr<Lines> lines;
+    std::optional<Time> drains_since;
 };
 
 struct Tally {
@@ -66,6 +69,10 @@
     void close(std::function<void()> then);
     net::Address address() const { return listener_->address(); }
     boost::json::object status() const;
+    // Null where the settings want no measurements. Levels are those of the last look.
+    metrics::Meters* meters() { return meters_.get(); }
+    // What others count, told with each look.
+    void measure_also(std::function<void(metrics::Levels&)> also) { measure_also_ = std::move(also); }
 
 private:
     friend class Visit;
@@ -91,6 +98,8 @@
     void drop_if_closed(Ward& ward);
     void visit_gone(const std::shared_ptr<Visit>& visit);
     void see_whether_done();
+    void look();
+    metrics::Levels levels() const;
     void fill(Errand& errand, std::string head, Time within);
     // Every call into the module goes through here.
     template <class Call>
@@ -110,6 +119,11 @@
     Tally tally_;
     trace::Watched controller_;
     fleet::Roster roster_;
+    std::unique_ptr<metrics::Meters> meters_;
+    std::function<void(metrics::Levels&)> measure_also_;
+    net::World::Ticket look_{};
+    Time look_at_{};
+    std::uint64_t looks_{};
     std::shared_ptr<net::Listener> listener_;
     std::map<std::uint64_t, std::shared_ptr<Visit>> visits_;  // in the order in which they came
     std::uint64_t visit_numbers_{};
--- a/src/gateway/visit.cpp
+++ b/src/gateway/visit.cpp
@@ -66,8 +66,11 @@
         object(Objection::malformed);
         co_return false;
     }
-    if (plain && (path[1] == "status" || path[1] == "health")) {
-        if (path[1] == "status")
+    const bool measured = plain && path[1] == "metrics" && gateway_.meters();
+    if (plain && (path[1] == "status" || path[1] == "health" || measured)) {
+        if (measured)
+            say_plain(200, "text/plain; version=0.0.4", gateway_.meters()->exposition());
+        else if (path[1] == "status")
             say_plain(200, "application/json", boost::json::serialize(gateway_.status()) + "\n");
         else
             say_plain(gateway_.door_.closing() ? 503 : 200, "text/plain", gateway_.door_.closing() ? "closing\n" : "ok\n");
--- /dev/null
+++ b/src/metrics/heaviest.cpp
@@ -0,0 +1,69 @@
+#include "metrics/heaviest.hpp"
+
+#include <algorithm>
+
+namespace plumkeel::metrics {
+namespace {
+
+constexpr double fading = 0.8;       // of a count from review to review
+constexpr double clearly = 1.3;      // times as heavy as the one whose place it takes
+constexpr double worth_telling = 3;  // sure counts, at the least
+constexpr std::size_t places_a_review = 8;  // one in so many changes hands
+
+}  // namespace
+
+Heaviest::Heaviest(std::size_t told, std::size_t counted) : most_told_(told), most_counted_(std::max(told, counted)) {}
+
+bool Heaviest::feed(std::string_view name) {
+    auto it = counts_.find(name);
+    if (it == counts_.end()) {
+        Count count;
+        if (counts_.size() >= most_counted_) {
+            const auto least = by_count_.begin();
+            count.seen = count.doubt = least->first;
+            const auto gone = counts_.find(least->second);
+            by_count_.erase(least);
+            counts_.erase(gone);
+        }
+        it = counts_.emplace(std::string(name), count).first;
+    } else {
+        by_count_.erase({it->second.seen, it->first});
+    }
+    ++it->second.seen;
+    by_count_.emplace(it->second.seen, it->first);
+    return told(name);
+}
+
+Heaviest::Turnover Heaviest::review() {
+    Turnover out;
+    std::vector<std::pair<double, std::string_view>> strangers, residents;
+    for (const auto& [name, count] : counts_)
+        (told(name) ? residents : strangers).emplace_back(count.sure(), name);
+    for (const std::string& name : told_)
+        if (!counts_.contains(name)) residents.emplace_back(0.0, name);
+    const auto heavier = [](const auto& a, const auto& b) { return a.first > b.first || (a.first == b.first && a.second < b.second); };
+    std::sort(strangers.begin(), strangers.end(), heavier);
+    std::sort(residents.begin(), residents.end(), heavier);
+    std::size_t changes = std::max<std::size_t>(1, most_told_ / places_a_review);
+    for (const auto& [count, name] : strangers) {
+        if (count < worth_telling) break;
+        if (told_.size() >= most_told_) {
+            if (changes == 0 || residents.empty() || count < clearly * residents.back().first) break;
+            --changes;
+            out.ended.emplace_back(residents.back().second);
+            residents.pop_back();
+            told_.erase(told_.find(out.ended.back()));
+        }
+        told_.emplace(name);
+        out.begun.emplace_back(name);
+    }
+    by_count_.clear();
+    for (auto& [name, count] : counts_) {
+        count.seen *= fading;
+        count.doubt *= fading;
+        by_count_.emplace(count.seen, name);
+    }
+    return out;
+}
+
+}  // namespace plumkeel::metrics
--- /dev/null
+++ b/src/metrics/heaviest.hpp
@@ -0,0 +1,44 @@
+// Which names are told by themselves, where only so many may be: the heaviest of late. A space-saving sketch (the
+// least counted name gives its place, and its count as a doubt, to one that is new), whose counts fade with each
+// review. Names change places only there, a few at a time, and only for one that is clearly heavier. Pure.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace plumkeel::metrics {
+
+class Heaviest {
+public:
+    // At most `told` names by themselves; `counted` names are followed to find them, at least as many.
+    Heaviest(std::size_t told, std::size_t counted);
+
+    // Counts one; whether its name is told now.
+    bool feed(std::string_view name);
+    bool told(std::string_view name) const { return told_.contains(name); }
+
+    struct Turnover {
+        std::vector<std::string> ended, begun;
+    };
+    Turnover review();
+
+    static constexpr std::string_view others = "(others)";
+
+private:
+    struct Count {
+        double seen{}, doubt{};
+        double sure() const { return seen - doubt; }
+    };
+    using Counts = std::map<std::string, Count, std::less<>>;
+
+    const std::size_t most_told_, most_counted_;
+    Counts counts_;
+    std::set<std::pair<double, std::string_view>> by_count_;  // into the names of counts_
+    std::set<std::string, std::less<>> told_;
+};
+
+}  // namespace plumkeel::metrics
