Remote write: pacer, durable spool, sender, and a strict receiver to test them against

Series flattened with staleness marks, a moment that never goes back; LMDB queue bounded by size and age with a place for each receiver and part; order kept by one batch a part at a time. In virtual time: a stall of a minute, errors to some parts, late answers, cuts, 400, 429. Ten kill -9: nothing that append() had told to be on disk was missing.

--- /dev/null
+++ b/src/remote/spool.cpp
@@ -0,0 +1,250 @@
+#include "remote/spool.hpp"
+
+#include <lmdb.h>
+#include <zstd.h>
+
+#include <algorithm>
+#include <cstring>
+#include <filesystem>
+#include <utility>
+
+namespace plumkeel::remote {
+namespace {
+
+void check(int rc, const char* what) {
+    if (rc != MDB_SUCCESS) throw SpoolFault(std::string(what) + ": " + mdb_strerror(rc));
+}
+
+void put_number(std::string& out, std::uint64_t value) {
+    for (int shift = 56; shift >= 0; shift -= 8) out.push_back(static_cast<char>(value >> shift));
+}
+
+std::uint64_t get_number(std::string_view in, std::size_t at) {
+    std::uint64_t value = 0;
+    for (std::size_t i = 0; i < 8; ++i) value = value << 8 | static_cast<unsigned char>(in[at + i]);
+    return value;
+}
+
+std::string key_of(std::uint64_t sequence, int part) {
+    std::string key;
+    put_number(key, sequence);
+    key.push_back(static_cast<char>(part));
+    return key;
+}
+
+MDB_val value_of(std::string_view text) {
+    return {text.size(), const_cast<char*>(text.data())};
+}
+
+std::string_view text_of(const MDB_val& value) {
+    return {static_cast<const char*>(value.mv_data), value.mv_size};
+}
+
+// An entry: moment, number of samples, size when unpacked, then a zstd frame.
+constexpr std::size_t entry_head = 24;
+
+}  // namespace
+
+struct Spool::Store {
+    MDB_env* env{};
+    MDB_dbi entries{}, places{};
+
+    explicit Store(const SpoolRules& rules) {
+        std::error_code error;
+        std::filesystem::create_directories(rules.folder, error);
+        check(mdb_env_create(&env), "the spool");
+        mdb_env_set_maxdbs(env, 2);
+        // Twice what may wait, and room for pages that a write keeps until it is done.
+        check(mdb_env_set_mapsize(env, std::max<std::size_t>(rules.bytes * 2, 8 * 1024 * 1024) / 4096 * 4096), "the spool's size");
+        // Places need no sync of their own: one that is lost with the machine means samples sent again. What append()
+        // takes is synced there.
+        if (const int rc = mdb_env_open(env, rules.folder.c_str(), MDB_NOSYNC, 0640)) {
+            mdb_env_close(env);
+            throw SpoolFault(rules.folder + ": " + mdb_strerror(rc));
+        }
+    }
+    ~Store() { mdb_env_close(env); }
+
+    struct Txn {
+        MDB_txn* txn{};
+        Txn(MDB_env* env, unsigned flags) { check(mdb_txn_begin(env, nullptr, flags, &txn), "the spool"); }
+        ~Txn() {
+            if (txn) mdb_txn_abort(txn);
+        }
+        Txn(const Txn&) = delete;
+        void commit() { check(mdb_txn_commit(std::exchange(txn, nullptr)), "the spool does not take it"); }
+    };
+
+    void put(Txn& txn, MDB_dbi where, std::string_view key, std::string_view value) {
+        MDB_val k = value_of(key), v = value_of(value);
+        check(mdb_put(txn.txn, where, &k, &v, 0), "the spool does not take it");
+    }
+    void put_place(Txn& txn, const std::string& receiver, int part, std::uint64_t place) {
+        std::string value;
+        put_number(value, place);
+        put(txn, places, receiver + '\0' + std::to_string(part), value);
+    }
+};
+
+Spool::Spool(SpoolRules rules, const std::vector<std::string>& receivers) : rules_(std::move(rules)), store_(std::make_unique<Store>(rules_)) {
+    Store::Txn txn(store_->env, 0);
+    check(mdb_dbi_open(txn.txn, "entries", MDB_CREATE, &store_->entries), "the spool's entries");
+    check(mdb_dbi_open(txn.txn, "places", MDB_CREATE, &store_->places), "the spool's places");
+    MDB_cursor* cursor{};
+    MDB_val key, value;
+    check(mdb_cursor_open(txn.txn, store_->entries, &cursor), "the spool's entries");
+    while (mdb_cursor_get(cursor, &key, &value, MDB_NEXT) == MDB_SUCCESS) {
+        const std::string_view k = text_of(key), v = text_of(value);
+        if (k.size() != 9 || v.size() < entry_head) continue;
+        const auto sequence = get_number(k, 0);
+        const auto part = static_cast<std::size_t>(static_cast<unsigned char>(k[8]));
+        Scrape& scrape = scrapes_[sequence];
+        scrape.at_ms = static_cast<std::int64_t>(get_number(v, 0));
+        scrape.samples.resize(std::max<std::size_t>(part + 1, static_cast<std::size_t>(rules_.parts)));
+        scrape.samples[part] = static_cast<std::uint32_t>(get_number(v, 8));
+        scrape.bytes += v.size();
+        bytes_ += v.size();
+        end_ = std::max(end_, sequence + 1);
+    }
+    mdb_cursor_close(cursor);
+    for (const std::string& name : receivers) places_[name].assign(static_cast<std::size_t>(rules_.parts), 0);
+    std::vector<std::string> strangers;
+    check(mdb_cursor_open(txn.txn, store_->places, &cursor), "the spool's places");
+    while (mdb_cursor_get(cursor, &key, &value, MDB_NEXT) == MDB_SUCCESS) {
+        const std::string_view k = text_of(key);
+        const auto split = k.find('\0');
+        if (value.mv_size != 8) continue;
+        const std::uint64_t number = get_number(text_of(value), 0);
+        if (split == std::string_view::npos) {
+            if (k == "end") end_ = std::max(end_, number);
+            if (k == "dropped") dropped_ = number;
+            continue;
+        }
+        const auto it = places_.find(std::string(k.substr(0, split)));
+        const auto part = static_cast<std::size_t>(std::atoi(std::string(k.substr(split + 1)).c_str()));
+        if (it == places_.end() || part >= it->second.size())
+            strangers.emplace_back(k);
+        else
+            it->second[part] = number;
+    }
+    mdb_cursor_close(cursor);
+    for (const std::string& each : strangers) {
+        MDB_val k = value_of(each);
+        mdb_del(txn.txn, store_->places, &k, nullptr);
+    }
+    txn.commit();
+}
+
+Spool::~Spool() {
+    mdb_env_sync(store_->env, 1);
+}
+
+void Spool::append(std::int64_t at_ms, const std::vector<Part>& parts) {
+    Scrape scrape{at_ms, 0, std::vector<std::uint32_t>(static_cast<std::size_t>(rules_.parts))};
+    std::vector<std::pair<std::string, std::string>> entries;
+    for (std::size_t part = 0; part < parts.size(); ++part) {
+        if (parts[part].samples == 0) continue;
+        std::string packed(ZSTD_compressBound(parts[part].bytes.size()), '\0');
+        packed.resize(ZSTD_compress(packed.data(), packed.size(), parts[part].bytes.data(), parts[part].bytes.size(), 1));
+        std::string value;
+        put_number(value, static_cast<std::uint64_t>(at_ms));
+        put_number(value, parts[part].samples);
+        put_number(value, parts[part].bytes.size());
+        value += packed;
+        scrape.samples[part] = parts[part].samples;
+        scrape.bytes += value.size();
+        entries.emplace_back(key_of(end_, static_cast<int>(part)), std::move(value));
+    }
+    // Room first: the oldest go, whoever still wanted them.
+    std::uint64_t keep_from = end_;
+    std::size_t total = bytes_ + scrape.bytes;
+    for (const auto& [sequence, each] : scrapes_) {
+        if (total <= rules_.bytes && each.at_ms + rules_.age.count() >= at_ms) {
+            keep_from = sequence;
+            break;
+        }
+        total -= each.bytes;
+    }
+    let_go_below(keep_from, true);
+    Store::Txn txn(store_->env, 0);
+    for (const auto& [key, value] : entries) store_->put(txn, store_->entries, key, value);
+    std::string next;
+    put_number(next, end_ + 1);
+    store_->put(txn, store_->places, "end", next);
+    txn.commit();
+    check(mdb_env_sync(store_->env, 1), "the spool is not on disk");
+    bytes_ += scrape.bytes;
+    scrapes_.emplace(end_++, std::move(scrape));
+}
+
+Spool::Batch Spool::read(const std::string& receiver, int part, std::size_t most) const {
+    Batch batch;
+    const auto index = static_cast<std::size_t>(part);
+    batch.next = places_.at(receiver)[index];
+    Store::Txn txn(store_->env, MDB_RDONLY);
+    for (auto it = scrapes_.lower_bound(batch.next); it != scrapes_.end(); ++it) {
+        const std::uint32_t samples = it->second.samples[index];
+        if (batch.samples > 0 && batch.samples + samples > most) break;
+        batch.next = it->first + 1;
+        if (samples == 0) continue;
+        const std::string key = key_of(it->first, part);
+        MDB_val k = value_of(key), v;
+        if (mdb_get(txn.txn, store_->entries, &k, &v) != MDB_SUCCESS) continue;
+        const std::string_view entry = text_of(v);
+        std::string raw(get_number(entry, 16), '\0');
+        const std::size_t n = ZSTD_decompress(raw.data(), raw.size(), entry.data() + entry_head, entry.size() - entry_head);
+        if (ZSTD_isError(n)) continue;
+        if (batch.samples == 0) batch.oldest_ms = it->second.at_ms;
+        batch.bytes += raw;
+        batch.samples += samples;
+    }
+    return batch;
+}
+
+void Spool::advance(const std::string& receiver, int part, std::uint64_t next) {
+    std::uint64_t& place = places_.at(receiver)[static_cast<std::size_t>(part)];
+    place = std::max(place, next);
+    Store::Txn txn(store_->env, 0);
+    store_->put_place(txn, receiver, part, place);
+    txn.commit();
+    std::uint64_t least = end_;
+    for (const auto& [name, all] : places_)
+        for (const std::uint64_t each : all) least = std::min(least, each);
+    let_go_below(least, false);
+}
+
+void Spool::let_go_below(std::uint64_t sequence, bool dropping) {
+    if (scrapes_.empty() || scrapes_.begin()->first >= sequence) return;
+    Store::Txn txn(store_->env, 0);
+    while (!scrapes_.empty() && scrapes_.begin()->first < sequence) {
+        const auto& [number, scrape] = *scrapes_.begin();
+        for (std::size_t part = 0; part < scrape.samples.size(); ++part) {
+            if (scrape.samples[part] == 0) continue;
+            const std::string key = key_of(number, static_cast<int>(part));
+            MDB_val k = value_of(key);
+            mdb_del(txn.txn, store_->entries, &k, nullptr);
+            if (!dropping) continue;
+            for (const auto& [name, all] : places_)  // once for each receiver that had not taken it
+                if (all[part] <= number) dropped_ += scrape.samples[part];
+        }
+        bytes_ -= scrape.bytes;
+        scrapes_.erase(scrapes_.begin());
+    }
+    if (dropping) {
+        std::string value;
+        put_number(value, dropped_);
+        store_->put(txn, store_->places, "dropped", value);
+    }
+    txn.commit();
+}
+
+std::uint64_t Spool::waiting(const std::string& receiver) const {
+    std::uint64_t sum = 0;
+    const auto& all = places_.at(receiver);
+    for (const auto& [number, scrape] : scrapes_)
+        for (std::size_t part = 0; part < all.size(); ++part)
+            if (all[part] <= number) sum += scrape.samples[part];
+    return sum;
+}
+
+}  // namespace plumkeel::remote
--- /dev/null
+++ b/src/remote/spool.hpp
@@ -0,0 +1,71 @@
+// Samples on their way to receivers, on disk: a bounded queue that outlives the process (LMDB). What append() has
+// taken is there after kill -9; each receiver's place is kept for each part. One thread.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "remote/series.hpp"
+
+namespace plumkeel::remote {
+
+struct SpoolRules {
+    std::string folder;
+    std::size_t bytes = 256 * 1024 * 1024;                  // of waiting samples, packed; then the oldest are dropped
+    std::chrono::milliseconds age = std::chrono::hours(6);  // and those older than this
+    int parts = 4;
+};
+
+struct SpoolFault : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+class Spool {
+public:
+    // Throws SpoolFault where the folder can't be used. Places of receivers not named are let go of.
+    Spool(SpoolRules rules, const std::vector<std::string>& receivers);
+    ~Spool();
+    Spool(const Spool&) = delete;
+
+    // One scrape; on disk when it returns. Throws SpoolFault where the disk does not take it: nothing of it is kept.
+    void append(std::int64_t at_ms, const std::vector<Part>& parts);
+
+    struct Batch {
+        std::string bytes;
+        std::uint32_t samples{};
+        std::uint64_t next{};  // the receiver's place once it has taken these
+        std::int64_t oldest_ms{};
+    };
+    // From the receiver's place on, as many whole scrapes as fit into `most`, at least one; 0 samples: nothing waits.
+    Batch read(const std::string& receiver, int part, std::size_t most) const;
+    void advance(const std::string& receiver, int part, std::uint64_t next);
+
+    std::uint64_t waiting(const std::string& receiver) const;  // samples
+    std::size_t bytes() const { return bytes_; }
+    std::uint64_t dropped() const { return dropped_; }  // samples, over restarts
+    std::uint64_t end() const { return end_; }
+
+private:
+    void let_go_below(std::uint64_t sequence, bool dropped);
+
+    const SpoolRules rules_;
+    struct Store;
+    std::unique_ptr<Store> store_;
+    struct Scrape {
+        std::int64_t at_ms{};
+        std::size_t bytes{};
+        std::vector<std::uint32_t> samples;  // by part
+    };
+    std::map<std::uint64_t, Scrape> scrapes_;  // what waits, by its number
+    std::map<std::string, std::vector<std::uint64_t>> places_;
+    std::uint64_t end_{};
+    std::size_t bytes_{};
+    std::uint64_t dropped_{};
+};
+
+}  // namespace plumkeel::remote
--- /dev/null
+++ b/stand/receiver.cpp
@@ -0,0 +1,102 @@
+#include "stand/receiver.hpp"
+
+#include <fmt/format.h>
+#include <snappy.h>
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+#include "write.pb.h"
+
+namespace plumkeel::stand {
+
+constexpr std::size_t most_breaches = 100;
+
+WriteReceiver::WriteReceiver(net::World& world, std::shared_ptr<net::Listener> listener) : world_(world) {
+    side_ = {[this](const auto& talk, auto message) { asked(talk, message); }, [this](const auto&) { --at_once_; }};
+    accept_talks(world_, std::move(listener), side_);
+}
+
+void WriteReceiver::be(Mood mood, unsigned status, std::string retry_after) {
+    mood_ = mood;
+    status_ = status;
+    retry_after_ = std::move(retry_after);
+}
+
+void WriteReceiver::breach(std::string what) {
+    if (breaches_.size() < most_breaches) breaches_.push_back(std::move(what));
+}
+
+void WriteReceiver::asked(const std::shared_ptr<Talk>& talk, const Talk::Message& message) {
+    ++questions_;
+    most_at_once_ = std::max(most_at_once_, ++at_once_);
+    if (mood_ == Mood::stalls) return;  // no answer ever; the sender has to give up
+    if (mood_ == Mood::status) return reply(talk, status_);
+    if (mood_ == Mood::cuts) {
+        --at_once_;
+        return talk->reply_cut("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", 10);
+    }
+    if (part_share_ > 0 && chance_.next() < part_share_) return reply(talk, part_status_);
+    if (!take(message)) return reply(talk, 400);
+    if (mood_ == Mood::late) return;  // taken, and never said so
+    if (delay_ == Time{}) return reply(talk, 204);
+    world_.at(world_.now() + delay_, [this, talk] {
+        if (talk->open()) reply(talk, 204);
+    });
+}
+
+void WriteReceiver::reply(const std::shared_ptr<Talk>& talk, unsigned status) {
+    --at_once_;
+    http::HeadWriter head(http::status_line(status));
+    if (!retry_after_.empty()) head.add("Retry-After", retry_after_);
+    talk->reply(head.add("Content-Length", "0").done(), "");
+}
+
+bool WriteReceiver::take(const Talk::Message& message) {
+    const std::pair<const char*, const char*> fields[] = {{"Content-Encoding", "snappy"}, {"Content-Type", "application/x-protobuf"},
+                                                          {"X-Prometheus-Remote-Write-Version", "0.1.0"}};
+    for (const auto& [name, value] : fields)
+        if (http::field(message, name) != value) breach(fmt::format("{} is not {}", name, value));
+    if (http::field(message, "User-Agent").empty()) breach("no User-Agent");
+    std::string raw;
+    if (!snappy::Uncompress(message.body().data(), message.body().size(), &raw)) {
+        breach("the body is no snappy block");
+        return false;
+    }
+    remote::wire::WriteRequest all;
+    if (!all.ParseFromString(raw)) {
+        breach("the body is no WriteRequest");
+        return false;
+    }
+    for (const auto& one : all.timeseries()) {
+        remote::Labels labels;
+        for (const auto& label : one.labels()) labels.emplace_back(label.name(), label.value());
+        if (!std::is_sorted(labels.begin(), labels.end())) breach("labels are not sorted");
+        if (std::adjacent_find(labels.begin(), labels.end(), [](const auto& a, const auto& b) { return a.first == b.first; }) != labels.end())
+            breach("a label comes twice");
+        if (std::none_of(labels.begin(), labels.end(), [](const auto& l) { return l.first == "__name__" && !l.second.empty(); }))
+            breach("a series has no name");
+        if (std::any_of(labels.begin(), labels.end(), [](const auto& l) { return l.second.empty(); })) breach("a label is empty");
+        Points& points = series_[labels];
+        for (const auto& sample : one.samples()) {
+            if (!points.empty() && sample.timestamp() <= points.back().first) {
+                // What was sent before and not known to be taken comes again just as it was.
+                const auto it = std::lower_bound(points.begin(), points.end(), std::pair(sample.timestamp(), -HUGE_VAL));
+                const bool same = it != points.end() && it->first == sample.timestamp() &&
+                                  std::bit_cast<std::uint64_t>(it->second) == std::bit_cast<std::uint64_t>(sample.value());
+                if (same)
+                    ++repeated_;
+                else
+                    breach(fmt::format("a sample of {} is out of order", labels.front().second));
+                continue;
+            }
+            points.emplace_back(sample.timestamp(), sample.value());
+            ++samples_;
+            ++by_second_[world_.now() / 1s];
+        }
+    }
+    return true;
+}
+
+}  // namespace plumkeel::stand
--- /dev/null
+++ b/tests/remote_test.cpp
@@ -0,0 +1,383 @@
+// Remote write: the pacer's decisions, series and their ends, the spool over kills, and the sender against a
+// receiver that stalls, turns down, cuts and answers late, in virtual time.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cmath>
+#include <filesystem>
+#include <limits>
+
+#include "net/memory.hpp"
+#include "remote/sender.hpp"
+#include "stand/receiver.hpp"
+
+namespace plumkeel::remote {
+namespace {
+
+using namespace std::chrono_literals;
+
+// ---------------------------------------------------------------- the pacer
+
+TEST(Pacer, TroubleMakesPausesGrowAndBatchesSmall) {
+    Pacer pacer({}, 7);
+    Time now{};
+    Time last{};
+    for (int i = 0; i < 12; ++i) {
+        const auto leave = pacer.ask(now, 1000);
+        ASSERT_GT(leave.samples, 0u) << i;
+        EXPECT_LE(leave.samples, 200u);
+        pacer.sent(now, leave.samples);
+        EXPECT_EQ(pacer.ask(now, 1000).samples, 0u);  // one lane only
+        pacer.answered(now, Heard::later, 10ms, {});
+        const auto next = pacer.ask(now, 1000);
+        EXPECT_EQ(next.samples, 0u);
+        last = next.again - now;
+        const double nominal = std::min(30.0, 0.2 * std::pow(2, i));
+        EXPECT_GE(static_cast<double>(last.count()) / 1e6, nominal * 0.5) << i;
+        EXPECT_LE(static_cast<double>(last.count()) / 1e6, nominal * 1.5) << i;
+        now = next.again + 2s;  // allowance gathers again
+    }
+}
+
+TEST(Pacer, RetryAfterIsKept) {
+    Pacer pacer({}, 7);
+    pacer.sent(Time{}, 200);
+    pacer.answered(Time{}, Heard::later, 10ms, Time(17s));
+    EXPECT_EQ(pacer.ask(1s, 1000).again, Time(17s));
+    EXPECT_GT(pacer.ask(17s, 1000).samples, 0u);
+}
+
+TEST(Pacer, ItWidensStepByStepAndASlowReceiverHalvesIt) {
+    Pacer pacer({}, 7);
+    Time now{};
+    EXPECT_EQ(pacer.width(), 1);
+    for (int i = 0; i < 20; ++i) {
+        now += 1s;
+        pacer.sent(now, 1);
+        pacer.answered(now, Heard::taken, 10ms, {});
+        EXPECT_LE(pacer.width(), 4);
+    }
+    EXPECT_EQ(pacer.width(), 4);
+    pacer.sent(now, 1);
+    pacer.answered(now, Heard::taken, 5s, {});
+    EXPECT_EQ(pacer.width(), 2);
+    pacer.sent(now, 1);
+    pacer.answered(now, Heard::lost, 10s, {});
+    EXPECT_EQ(pacer.width(), 1);
+}
+
+TEST(Pacer, ABacklogIsWorkedOffAtAMultipleOfTheInflow) {
+    Pacer pacer({}, 7);
+    Time now{};
+    double sent = 0;
+    while (now < 100s) {
+        const auto leave = pacer.ask(now, 1000);
+        if (leave.samples == 0) {
+            now = leave.again;
+            continue;
+        }
+        pacer.sent(now, leave.samples);
+        sent += static_cast<double>(leave.samples);
+        pacer.answered(now, Heard::taken, 1ms, {});
+    }
+    EXPECT_NEAR(sent, 4 * 1000 * 100, 4 * 1000 * 100 * 0.05);
+}
+
+// ---------------------------------------------------------------- series
+
+Sample sample(const std::string& name, int number, double value) {
+    return {{{"__name__", name}, {"n", std::to_string(number)}}, value};
+}
+
+TEST(Series, HistogramsBecomeBucketsSumAndCount) {
+    prometheus::MetricFamily family;
+    family.name = "h";
+    family.type = prometheus::MetricType::Histogram;
+    family.metric.resize(1);
+    family.metric[0].label = {{"zone", "a"}, {"empty", ""}};
+    family.metric[0].histogram = {3, 4.5, {{2, 0.5}, {3, std::numeric_limits<double>::infinity()}}};
+    const auto samples = flat({family});
+    ASSERT_EQ(samples.size(), 4u);
+    EXPECT_EQ(samples[0].labels, (Labels{{"__name__", "h_bucket"}, {"le", "0.5"}, {"zone", "a"}}));
+    EXPECT_EQ(samples[1].labels[1].second, "+Inf");
+    EXPECT_EQ(samples[2].labels[0].second, "h_sum");
+    EXPECT_EQ(samples[3].value, 3);
+}
+
+TEST(Series, TheMomentsOfSamplesNeverGoBackWhateverTheClockDoes) {
+    SampleClock clock(1000s, 0s);
+    std::int64_t last = 0;
+    for (int i = 1; i <= 100; ++i) {
+        const Time now = std::chrono::seconds(i);
+        const Time wall = 1000s + now - (i > 30 ? Time(1h) : Time{}) + (i > 60 ? Time(3h) : Time{});
+        const auto ms = clock.ms(wall, now);
+        EXPECT_GT(ms, last);
+        if (i > 1 && i != 61) {
+            EXPECT_EQ(ms - last, 1000) << i;  // rates stay right
+        }
+        last = ms;
+    }
+    EXPECT_GE(last, (1000s + 2h) / 1ms);
+}
+
+// ---------------------------------------------------------------- the spool
+
+class SpoolTest : public testing::Test {
+protected:
+    SpoolTest() {
+        rules.folder = testing::TempDir() + "plumkeel_spool_" + std::to_string(::getpid());
+        std::filesystem::remove_all(rules.folder);
+        rules.parts = 2;
+    }
+    ~SpoolTest() override { std::filesystem::remove_all(rules.folder); }
+    static std::vector<Part> parts_of(Scraper& scraper, int series, std::int64_t at, double value) {
+        std::vector<Sample> samples;
+        for (int i = 0; i < series; ++i) samples.push_back(sample("m", i, value));
+        return scraper.scrape(samples, at);
+    }
+    SpoolRules rules;
+};
+
+TEST_F(SpoolTest, WhatWasAppendedAndEachPlaceOutliveTheProcess) {
+    Scraper scraper(2);
+    Spool::Batch before;
+    {
+        Spool spool(rules, {"a", "b"});
+        for (int i = 0; i < 10; ++i) spool.append(1000 * i, parts_of(scraper, 20, 1000 * i, i));
+        before = spool.read("a", 0, 25);
+        EXPECT_GT(before.samples, 0u);
+        EXPECT_LE(before.samples, 25u);
+        spool.advance("a", 0, before.next);
+    }
+    Spool spool(rules, {"a", "b"});
+    EXPECT_EQ(spool.end(), 10u);
+    EXPECT_EQ(spool.waiting("a"), 200u - before.samples);
+    EXPECT_EQ(spool.waiting("b"), 200u);
+    EXPECT_EQ(spool.read("b", 0, 25).bytes, before.bytes);
+    EXPECT_NE(spool.read("a", 0, 25).bytes, before.bytes);
+}
+
+TEST_F(SpoolTest, WhatAllHaveTakenIsLetGo) {
+    Scraper scraper(2);
+    Spool spool(rules, {"a", "b"});
+    for (int i = 0; i < 10; ++i) spool.append(1000 * i, parts_of(scraper, 20, 1000 * i, i));
+    for (const char* name : {"a", "b"})
+        for (int part = 0; part < 2; ++part) spool.advance(name, part, spool.end());
+    EXPECT_EQ(spool.bytes(), 0u);
+    EXPECT_EQ(spool.dropped(), 0u);
+}
+
+TEST_F(SpoolTest, PastItsBoundsTheOldestIsDroppedAndCounted) {
+    Scraper scraper(2);
+    rules.bytes = 20'000;
+    std::uint64_t dropped = 0;
+    {
+        Spool spool(rules, {"a"});
+        for (int i = 0; i < 200; ++i) {
+            spool.append(1000 * i, parts_of(scraper, 50, 1000 * i, i * 1.7));
+            EXPECT_LE(spool.bytes(), 20'000u);
+        }
+        dropped = spool.dropped();
+        EXPECT_GT(dropped, 1000u);
+        EXPECT_EQ(spool.waiting("a") + dropped, 200u * 50);
+        EXPECT_GT(spool.read("a", 0, 1).oldest_ms, 100'000);
+    }
+    EXPECT_EQ(Spool(rules, {"a"}).dropped(), dropped);
+    rules.age = 10s;
+    Spool spool(rules, {"a"});
+    spool.append(1'000'000, parts_of(scraper, 50, 1'000'000, 1));
+    EXPECT_EQ(spool.waiting("a"), 50u);
+}
+
+// Ten times killed at some moment: whatever append() had said is on disk is there.
+TEST_F(SpoolTest, KillsLoseNothingThatWasTaken) {
+    std::uint64_t dice = 77;
+    std::int64_t at = 0;
+    for (int round = 0; round < 10; ++round) {
+        int ends[2];
+        ASSERT_EQ(::pipe(ends), 0);
+        const pid_t child = ::fork();
+        if (child == 0) {
+            Spool spool(rules, {"a"});
+            Scraper scraper(2);
+            for (std::int64_t i = 1;; ++i) {
+                spool.append(at + i, parts_of(scraper, 10, at + i, 1));
+                const std::uint64_t end = spool.end();
+                if (::write(ends[1], &end, sizeof end) != sizeof end) _exit(1);
+                if (i % 7 == 0) spool.advance("a", 0, spool.read("a", 0, 15).next);
+            }
+        }
+        ::close(ends[1]);
+        dice = dice * 6364136223846793005ULL + 1;
+        std::uint64_t told = 0, end = 0;
+        for (auto n = 5 + (dice >> 40) % 40; n > 0; --n) {
+            ASSERT_EQ(::read(ends[0], &end, sizeof end), static_cast<ssize_t>(sizeof end));
+            told = end;
+        }
+        ::kill(child, SIGKILL);
+        while (::read(ends[0], &end, sizeof end) == sizeof end) told = end;
+        ::close(ends[0]);
+        ::waitpid(child, nullptr, 0);
+        Spool spool(rules, {"a"});
+        EXPECT_GE(spool.end(), told);
+        EXPECT_LE(spool.end(), told + 1);
+        at += 1000;
+    }
+}
+
+// ---------------------------------------------------------------- the sender
+
+class SenderTest : public SpoolTest {
+protected:
+    static constexpr int parts = 4, series = 300;
+    SenderTest() : receiver(world, world.listen({"127.0.0.1", 9090}).listener) {
+        rules.parts = parts;
+        wanted.name = "r";
+        wanted.address = "127.0.0.1:9090";
+        wanted.within = 2s;
+    }
+    void begin() {
+        spool = std::make_unique<Spool>(rules, std::vector<std::string>{"r"});
+        sender = std::make_unique<Sender>(world, wanted, *spool, parts, 3,
+                                          [this](const std::string& kind, const std::string&) { ++notices[kind]; });
+        sender->start();
+    }
+    // One scrape a second.
+    void scrape_for(int seconds) {
+        for (int i = 0; i < seconds; ++i) {
+            world.run(world.now() + 1s);
+            std::vector<Sample> samples;
+            for (int n = 0; n < series; ++n) samples.push_back(sample("m", n, scraped * 10.0 + n));
+            ++scraped;
+            spool->append(scraped * 1000, scraper.scrape(samples, scraped * 1000));
+            sender->tell(series);
+        }
+    }
+    void expect_all() {
+        world.run(world.now() + 3s);  // the last scrape
+        for (const std::string& each : receiver.breaches()) ADD_FAILURE() << each;
+        ASSERT_EQ(receiver.series().size(), static_cast<std::size_t>(series));
+        for (const auto& [labels, points] : receiver.series()) {
+            ASSERT_EQ(points.size(), static_cast<std::size_t>(scraped)) << labels.back().second;
+            for (std::size_t i = 0; i < points.size(); ++i) ASSERT_EQ(points[i].first, static_cast<std::int64_t>(i + 1) * 1000);
+        }
+    }
+
+    net::MemoryWorld world;
+    stand::WriteReceiver receiver;
+    ReceiverRules wanted;
+    Scraper scraper{parts};
+    std::unique_ptr<Spool> spool;
+    std::unique_ptr<Sender> sender;
+    std::map<std::string, int> notices;
+    std::int64_t scraped = 0;
+};
+
+using Mood = stand::WriteReceiver::Mood;
+
+TEST_F(SenderTest, EverySampleArrivesInOrder) {
+    begin();
+    scrape_for(30);
+    world.run(world.now() + 5s);
+    expect_all();
+    EXPECT_EQ(receiver.repeated(), 0u);
+    EXPECT_EQ(spool->bytes(), 0u);
+}
+
+TEST_F(SenderTest, AfterAStallOfAMinuteAllArrivesAtABoundedRate) {
+    begin();
+    scrape_for(5);
+    receiver.be(Mood::stalls);
+    scrape_for(60);
+    receiver.be(Mood::takes);
+    const Time back = world.now();
+    scrape_for(90);
+    expect_all();
+    // The rate while catching up is 4 times the inflow, give or take what was saved up.
+    for (const auto& [second, samples] : receiver.by_second())
+        if (second > back / 1s) {
+            EXPECT_LE(samples, 4u * series + 2000u) << second;
+        }
+    EXPECT_EQ(notices["receiver_silent"], 1);
+    EXPECT_EQ(notices["receiver_takes"], 1);
+}
+
+TEST_F(SenderTest, ErrorsToSomePartsOnlyHoldUpNoOrder) {
+    begin();
+    receiver.be_for_part(0.4, 503);
+    scrape_for(40);
+    receiver.be_for_part(0, 503);
+    scrape_for(40);
+    expect_all();
+}
+
+// What was taken but never confirmed comes again just as it was: the receiver counts it once.
+TEST_F(SenderTest, AnswersThatComeTooLateCauseRepeatsAndNothingElse) {
+    begin();
+    scrape_for(5);
+    receiver.be(Mood::late);
+    scrape_for(10);
+    receiver.be(Mood::takes);
+    scrape_for(20);
+    expect_all();
+    EXPECT_GT(receiver.repeated(), 0u);
+}
+
+TEST_F(SenderTest, WhatWillNeverBeTakenIsNotSentAgain) {
+    begin();
+    receiver.be(Mood::status, 400);
+    scrape_for(10);
+    world.run(world.now() + 5s);
+    EXPECT_EQ(sender->counts().never, 10u * series);
+    EXPECT_EQ(sender->counts().again, 0u);
+    EXPECT_EQ(notices["receiver_turns_down"], 1);
+    EXPECT_EQ(spool->bytes(), 0u);
+}
+
+TEST_F(SenderTest, TooManyIsWaitedOutAsToldByRetryAfter) {
+    begin();
+    receiver.be(Mood::status, 429, "7");
+    scrape_for(1);
+    world.run(world.now() + 1s);
+    const auto before = receiver.questions();
+    EXPECT_LE(before, 4u);
+    world.run(world.now() + 5s);
+    EXPECT_EQ(receiver.questions(), before);
+    receiver.be(Mood::takes);
+    world.run(world.now() + 10s);
+    expect_all();
+}
+
+TEST_F(SenderTest, AnswersCutOffAreTroubleAndNothingIsLost) {
+    begin();
+    receiver.be(Mood::cuts);
+    scrape_for(10);
+    receiver.be(Mood::takes);
+    scrape_for(30);
+    expect_all();
+}
+
+TEST_F(SenderTest, ARestartInMidBacklogGoesOnWhereItStood) {
+    begin();
+    scrape_for(5);
+    receiver.be(Mood::status, 503);
+    scrape_for(20);
+    const std::uint64_t waiting = spool->waiting("r");
+    EXPECT_GE(waiting, 20u * series);
+    sender.reset();  // its coroutines wait in a world that is not run any more
+    spool.reset();
+    net::MemoryWorld second;
+    stand::WriteReceiver again(second, second.listen({"127.0.0.1", 9090}).listener);
+    Spool reopened(rules, {"r"});
+    EXPECT_EQ(reopened.waiting("r"), waiting);
+    Sender next(second, wanted, reopened, parts, 4, [](const std::string&, const std::string&) {});
+    next.start();
+    next.tell(series);
+    second.run(second.now() + 60s);
+    EXPECT_EQ(again.samples(), waiting);
+    EXPECT_TRUE(again.breaches().empty());
+}
+
+}  // namespace
+}  // namespace plumkeel::remote
