--- a/src/charter/charter.cpp
+++ b/src/charter/charter.cpp
@@ -1,5 +1,9 @@
 #include "charter/charter.hpp"
 
+#include <sys/stat.h>
+
+#include <fstream>
+
 #include "net/world.hpp"
 
 namespace plumkeel {
@@ -157,6 +161,53 @@
     if (trace.block_bytes > trace::largest_block / 2) in.complain("block_bytes", "is over 8388608");
 }
 
+// A token that others on the machine could read is not taken.
+std::string read_token(Reader& in, const std::string& file) {
+    struct stat facts {};
+    std::ifstream text(file);
+    std::string token;
+    if (::stat(file.c_str(), &facts) != 0 || !std::getline(text, token) || token.empty())
+        in.complain("bearer_file", "can't be read, or its first line is empty");
+    else if (facts.st_mode & (S_IRWXG | S_IRWXO))
+        in.complain("bearer_file", "may be read by others: chmod 600");
+    return token;
+}
+
+void read_receiver(const std::string& name, Reader& in, remote::ReceiverRules& receiver) {
+    std::string bearer_file;
+    receiver.name = name;
+    in.need("address", receiver.address);
+    check_address(in, "address", receiver.address);
+    in.read("path", receiver.path);
+    in.read("within", receiver.within);
+    in.read("bearer_file", bearer_file);
+    in.read("most_samples", receiver.pace.most_samples, 1);
+    in.read("catch_up", receiver.pace.catch_up);
+    if (!bearer_file.empty()) receiver.bearer = read_token(in, bearer_file);
+    if (!(receiver.pace.catch_up > 1)) in.complain("catch_up", "is not over 1: a backlog would never end");
+    receiver.pace.least_samples = std::min(receiver.pace.least_samples, receiver.pace.most_samples);
+}
+
+void read_remote(Reader& in, remote::Shipping& remote) {
+    std::size_t parts = 4;
+    Time age = remote.spool.age;
+    in.read("folder", remote.spool.folder);
+    in.read("bytes", remote.spool.bytes, 1024 * 1024);
+    in.read("age", age);
+    in.read("parts", parts, 1);
+    in.read("every", remote.every);
+    in.read("farewell", remote.farewell);
+    in.members("receivers", [&](const std::string& name, Reader& part) {
+        read_receiver(name, part, remote.receivers.emplace_back());
+    });
+    if (parts > 64) in.complain("parts", "is over 64");
+    if (remote.every < std::chrono::milliseconds(100)) in.complain("every", "is under 100ms");
+    if (!remote.receivers.empty() && remote.spool.folder.empty()) in.complain("folder", "is missing: samples wait there for their receivers");
+    remote.spool.parts = static_cast<int>(parts);
+    remote.spool.age = std::chrono::duration_cast<std::chrono::milliseconds>(age);
+    for (remote::ReceiverRules& each : remote.receivers) each.pace.lanes = remote.spool.parts;
+}
+
 void read_metrics(Reader& in, Measurements& metrics) {
     in.read("on", metrics.on);
     in.read("tenants", metrics.rules.tenants, 1);
@@ -183,6 +234,7 @@
     in.within("log", [&](Reader& part) { read_log(part, charter.log); });
     in.within("trace", [&](Reader& part) { read_trace(part, charter.trace); });
     in.within("metrics", [&](Reader& part) { read_metrics(part, charter.metrics); });
+    in.within("remote", [&](Reader& part) { read_remote(part, charter.remote); });
     in.members("use_cases", [&](const std::string& name, Reader& part) {
         read_use_case(name, part, charter.use_cases[name]);
     });
--- a/src/charter/charter.hpp
+++ b/src/charter/charter.hpp
@@ -10,6 +10,7 @@
 #include "dispatch/types.hpp"
 #include "door/door.hpp"
 #include "metrics/rules.hpp"
+#include "remote/ship.hpp"
 #include "trace/recorder.hpp"
 
 namespace plumkeel {
@@ -67,6 +68,7 @@
     LogRules log;
     trace::RecorderRules trace;
     Measurements metrics;
+    remote::Shipping remote;
     bool says_company = true;
     std::map<std::string, StatedUseCase, std::less<>> use_cases;
     std::map<std::string, Tenant> tenants;
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,5 +1,6 @@
 // plumkeel: one binary, one command a task.
 #include <CLI/CLI.hpp>
+#include <boost/asio/post.hpp>
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -12,6 +13,7 @@
 #include "gateway/gateway.hpp"
 #include "log/log.hpp"
 #include "net/real.hpp"
+#include "remote/ship.hpp"
 
 namespace {
 
@@ -58,6 +60,13 @@
         world.at(world.now() + std::chrono::milliseconds(500), hand_over);
     };
     if (recorder) hand_over();
+    std::unique_ptr<remote::Ship> ship;
+    if (gateway.meters() && !charter.remote.receivers.empty())
+        ship = std::make_unique<remote::Ship>(
+            charter.remote, [&gateway] { return gateway.meters()->collect(); },
+            [&world, &log](const std::string& kind, const std::string& what) {
+                net::asio::post(world.executor(), [&log, kind, what] { log.line(Log::Level::warn, kind, {{"what", what}}); });
+            });
     world.on_end_signal([&] {
         log.line(Log::Level::info, "closing");
         gateway.close([&] {
--- a/stand/common.hpp
+++ b/stand/common.hpp
@@ -95,6 +95,7 @@
 
 int run_invoker(const std::string& file, const std::string& record);
 int run_list(const std::string& file, const std::string& record);
+int run_receiver(const std::string& file, const std::string& record);
 int run_store(const std::string& file, const std::string& record);
 int run_clients(const std::string& file, const std::string& record);
 
--- a/stand/day.cpp
+++ b/stand/day.cpp
@@ -95,7 +95,7 @@
     void choose_ports() {
         const std::size_t replaced = 2;
         std::vector<std::shared_ptr<net::Listener>> held;
-        for (std::size_t i = 0; i < plan_.invokers.size() * replaced + static_cast<std::size_t>(plan_.controllers) + 2; ++i) {
+        for (std::size_t i = 0; i < plan_.invokers.size() * replaced + static_cast<std::size_t>(plan_.controllers) + 3; ++i) {
             held.push_back(must_listen(world_, 0));
             ports_.push_back(held.back()->address().port);
         }
@@ -127,6 +127,8 @@
         list["port"] = list_port_;
         store_ = stand("store", "store", store);
         list_ = stand("list", "list", list);
+        receiver_port_ = port();
+        receiver_ = stand("receiver", "receiver", {{"port", receiver_port_}});
         for (const InvokerPlan& invoker : plan_.invokers) {
             Place& place = places_[invoker.name];
             place.plan = invoker;
@@ -173,6 +175,8 @@
     void start_controller(const std::string& name) {
         json::object what = {{"log", {{"file", folder_ + "/" + name + ".log"}}}, {"trace", {{"folder", folder_ + "/traces"}}},
                              {"allowances", {{"controllers", plan_.controllers}}}};
+        what["remote"] = {{"folder", folder_ + "/spool-" + name}, {"every", "500ms"}, {"farewell", "1s"},
+                          {"receivers", {{"main", {{"address", address(receiver_port_)}}}}}};
         merge(what, plan_.controller);
         what["name"] = name;
         what["listen"] = address(controller_ports_[name]);
@@ -285,6 +289,8 @@
             list_->say(line);
         else if (who == "clients")
             clients_->say(line);
+        else if (who == "receiver")
+            receiver_->say(line);
         else if (const auto& part = places_.at(who).part)
             part->say(line);
     }
@@ -304,6 +310,10 @@
         retired_.clear();
         list_.reset();
         store_.reset();
+        receiver_->signal(SIGTERM);
+        if (const int status = receiver_->wait(10s); status != 0)
+            faults_.push_back("the receiver ended with status " + std::to_string(status) + ": see its record for breaches of the protocol");
+        receiver_.reset();
     }
 
     Verdict audit() {
@@ -332,9 +342,9 @@
     net::RealWorld world_;
     std::unique_ptr<Record> record_;
     std::vector<std::uint16_t> ports_;
-    std::uint16_t store_port_{}, list_port_{};
+    std::uint16_t store_port_{}, list_port_{}, receiver_port_{};
     std::map<std::string, std::uint16_t> controller_ports_;
-    std::unique_ptr<Part> store_, list_, clients_;
+    std::unique_ptr<Part> store_, list_, receiver_, clients_;
     std::map<std::string, Place> places_;
     std::vector<std::unique_ptr<Part>> retired_;
     std::map<std::string, std::unique_ptr<Part>> controllers_;
--- a/stand/day.hpp
+++ b/stand/day.hpp
@@ -19,7 +19,7 @@
 };
 
 // One thing that happens. `kind` is one of:
-//   command: `say` goes to `who` (invokers' names, "store", "list", "clients"), and `then` after `lasts`
+//   command: `say` goes to `who` (invokers' names, "store", "list", "clients", "receiver"), and `then` after `lasts`
 //   crash: `who` are killed outright, the list tells after `notice`, and they come back cold after `lasts`
 //   vanish: `who` fall silent and come back cold after `lasts`; the list tells nothing until then
 //   replace: `who` are drained one after another, `each` apart, stopped after `drain`, successors start cold
--- a/stand/day_plan.cpp
+++ b/stand/day_plan.cpp
@@ -72,7 +72,7 @@
     Time slack(plan.stated.slack);
     in.read("slack", slack);
     plan.stated.slack = slack.count();
-    std::set<std::string> names = {"store", "list", "clients"};
+    std::set<std::string> names = {"store", "list", "clients", "receiver"};
     in.each("invokers", [&](Reader& part) {
         InvokerPlan& invoker = plan.invokers.emplace_back();
         part.need("name", invoker.name);
--- a/stand/main.cpp
+++ b/stand/main.cpp
@@ -7,13 +7,14 @@
 
 int main(int argc, char** argv) {
     using namespace plumkeel::stand;
-    CLI::App app("plumkeel-stand: an invoker, a list, a store or clients; commands come on the standard input");
+    CLI::App app("plumkeel-stand: an invoker, a list, a store, a receiver or clients; commands come on the standard input");
     app.require_subcommand(1);
     std::string file, record = "/dev/null";
     std::map<CLI::App*, int (*)(const std::string&, const std::string&)> parts = {
         {app.add_subcommand("invoker", "loads functions on demand and pretends to work"), run_invoker},
         {app.add_subcommand("list", "Consul's health endpoint"), run_list},
         {app.add_subcommand("store", "where invokers fetch functions"), run_store},
+        {app.add_subcommand("receiver", "takes remote write, and takes nothing on trust"), run_receiver},
         {app.add_subcommand("clients", "open-loop senders"), run_clients}};
     for (auto& [part, run] : parts) {
         part->add_option("settings", file, "Jsonnet or JSON")->required();
--- a/stand/receiver.cpp
+++ b/stand/receiver.cpp
@@ -7,6 +7,7 @@
 #include <bit>
 #include <cmath>
 
+#include "charter/reader.hpp"
 #include "write.pb.h"
 
 namespace plumkeel::stand {
@@ -99,4 +100,44 @@
     return true;
 }
 
+// As a process: told its moods on the standard input, it writes all samples it has taken when the input ends.
+int run_receiver(const std::string& file, const std::string& record_file) {
+    const auto settings = evaluate(file);
+    Reader in(settings, file);
+    std::size_t port = 0;
+    in.need("port", port);
+    in.finish();
+    net::RealWorld world;
+    Record record(record_file);
+    WriteReceiver receiver(world, must_listen(world, static_cast<std::uint16_t>(port)));
+    Commands commands(world, [&](const auto& words, const auto& options) {
+        using Mood = WriteReceiver::Mood;
+        static const std::map<std::string, Mood> moods = {{"takes", Mood::takes}, {"stalls", Mood::stalls}, {"status", Mood::status},
+                                                          {"cuts", Mood::cuts}, {"late", Mood::late}};
+        if (const auto it = moods.find(words[0]); it != moods.end())
+            receiver.be(it->second, static_cast<unsigned>(Commands::figure(options, "status", 503)), Commands::text(options, "retry_after"));
+        if (words[0] == "forget") receiver.forget();
+        record.write("mood", {{"mood", words[0]}});
+    });
+    world.on_end_signal([&world] { world.stop(); });
+    world.run();
+    for (const std::string& each : receiver.breaches()) record.write("breach", {{"what", each}});
+    for (const auto& [labels, points] : receiver.series()) {
+        boost::json::object all;
+        boost::json::array moments, values;
+        for (const auto& [name, value] : labels) all[name] = value;
+        for (const auto& [at, value] : points) {
+            moments.push_back(at);
+            if (remote::is_stale_mark(value))
+                values.push_back(nullptr);
+            else
+                values.push_back(value);
+        }
+        record.write("series", {{"labels", std::move(all)}, {"ms", std::move(moments)}, {"values", std::move(values)}});
+    }
+    record.write("sum", {{"series", receiver.series().size()}, {"samples", receiver.samples()}, {"repeated", receiver.repeated()},
+                         {"breaches", receiver.breaches().size()}, {"questions", receiver.questions()}});
+    return receiver.breaches().empty() ? 0 : 1;
+}
+
 }  // namespace plumkeel::stand
