--- a/src/charter/charter.cpp
+++ b/src/charter/charter.cpp
@@ -241,6 +241,7 @@
     in.members("tenants", [&](const std::string& name, Reader& part) {
         part.read("share_per_s", charter.tenants[name].share_per_s);
     });
+    charter.remote.controller = charter.name;
     in.finish();
     if (charter.use_cases.empty()) in.complain("use_cases", "is missing: at least one is needed");
     return charter;
--- a/src/remote/ship.cpp
+++ b/src/remote/ship.cpp
@@ -65,6 +65,7 @@
     void add_own(std::vector<Sample>& samples) const {
         const auto add = [&](const char* name, double value, const std::string& receiver = "") {
             Labels labels = {{"__name__", std::string("plumkeel_remote_") + name}};
+            if (!rules.controller.empty()) labels.emplace_back("controller", rules.controller);
             if (!receiver.empty()) labels.emplace_back("receiver", receiver);
             samples.push_back({std::move(labels), value});
         };
--- a/src/remote/ship.hpp
+++ b/src/remote/ship.hpp
@@ -15,6 +15,7 @@
     Time every = std::chrono::seconds(5);  // between two scrapes
     Time farewell = std::chrono::seconds(2);  // at the end, for what still waits; the rest goes at the next start
     std::vector<ReceiverRules> receivers;
+    std::string controller;  // a label of what the ship tells of itself
 };
 
 class Ship {
