--- /dev/null
+++ b/src/cli/alerts.hpp
@@ -0,0 +1,12 @@
+// The commands that write alert rules and try them.
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <functional>
+
+namespace plumkeel::cli {
+
+// Adds `alerts` with its commands; the returned function runs the one that was given and returns the exit status.
+std::function<int()> add_alerts(CLI::App& app);
+
+}  // namespace plumkeel::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -8,6 +8,7 @@
 #include <random>
 
 #include "charter/charter.hpp"
+#include "cli/alerts.hpp"
 #include "cli/client.hpp"
 #include "cli/trace.hpp"
 #include "gateway/gateway.hpp"
@@ -110,6 +111,7 @@
     send_command->add_option("--mark", job.mark, "by which a repeat of a referenced job is known");
     send_command->add_flag("--again", job.again, "this job was tried before");
     const auto run_trace = cli::add_trace(app);
+    const auto run_alerts = cli::add_alerts(app);
     CLI11_PARSE(app, argc, argv);
 
     try {
@@ -121,7 +123,7 @@
         }
         if (*status_command) return cli::status(at);
         if (*send_command) return cli::send(at, job);
-        return run_trace();
+        return app.got_subcommand("alerts") ? run_alerts() : run_trace();
     } catch (const std::exception& fault) {
         std::cerr << "plumkeel: " << fault.what() << '\n';
         return 2;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -249,7 +249,7 @@
     ward.body = std::make_shared<const std::string>(std::move(wanted.body));
     jobs_[ward.id] = std::move(fresh);
     ++tally_.taken;
-    if (meters_) meters_->job_taken();
+    if (meters_) meters_->job_taken(wanted.again);
 
     feed([&](trace::Watched& it, Time now) { return it.take(now, ward); });
     const auto still = jobs_.find(ids_);
--- a/src/metrics/meters.cpp
+++ b/src/metrics/meters.cpp
@@ -70,6 +70,8 @@
     waited_ = histograms("waited_seconds", "Until a job's first hop left, or its end");
     hop_count_ = histograms("job_hops", "Hops of a job");
     taken_ = &counter("jobs_taken_total", "Jobs taken")->Add({});
+    again_ = &counter("jobs_again_total", "Jobs that their clients had sent before")->Add({});
+    looks_ = &counter("looks_total", "Looks at all levels: it stands still while the controller does")->Add({});
     probes_ = &counter("probes_total", "Probes sent")->Add({});
     orders_ = &counter("orders_total", "Orders to load or unload sent")->Add({});
     beliefs_wrong_ = &counter("beliefs_wrong_total", "Hops to a copy taken to stand that had to be loaded")->Add({});
@@ -98,11 +100,13 @@
     if (at == by_tenant_.end()) at = by_tenant_.emplace(std::string(tenant), Tenants{}).first;
     auto& uses = at->second.by_use_case;
     auto use = uses.find(use_case);
-    if (use == uses.end()) use = uses.emplace(std::string(use_case), std::array<Counter*, 6>{}).first;
-    Counter*& counter = use->second[outcome];
-    if (!counter)
-        counter = &jobs_->Add({{"outcome", outcomes[outcome]}, {"use_case", std::string(use_case)}, {"tenant", std::string(tenant)}});
-    return *counter;
+    if (use == uses.end()) {
+        // All outcomes at once, from 0: of a counter that begins with its first event, that event is in no rate.
+        use = uses.emplace(std::string(use_case), std::array<Counter*, 5>{}).first;
+        for (std::size_t i = 0; i < std::size(outcomes); ++i)
+            use->second[i] = &jobs_->Add({{"outcome", outcomes[i]}, {"use_case", std::string(use_case)}, {"tenant", std::string(tenant)}});
+    }
+    return *use->second[outcome];
 }
 
 prometheus::Histogram& Meters::histogram(prometheus::Family<Histogram>& family, std::map<std::string, Histogram*, std::less<>>& known,
@@ -151,6 +155,7 @@
         {"list_age_seconds", l.list_age_s}, {"loop_lag_seconds", l.lag_s}, {"trusted", l.trusted}, {"suspect", l.suspect},
         {"aside", l.aside}, {"easing", l.easing}, {"not_ready", l.not_ready}, {"cold", l.cold}};
     for (const auto& [name, value] : now) gauges_.at(name)->Set(value);
+    looks_->Increment();
     const auto up_to = [](Counter& counter, double value) {
         if (value > counter.Value()) counter.Increment(value - counter.Value());
     };
@@ -169,8 +174,7 @@
         const auto it = by_tenant_.find(name);
         if (it == by_tenant_.end()) continue;
         for (const auto& [use_case, counters] : it->second.by_use_case)
-            for (Counter* counter : counters)
-                if (counter) jobs_->Remove(counter);
+            for (Counter* counter : counters) jobs_->Remove(counter);
         by_tenant_.erase(it);
     }
     for (const std::string& name : functions_.review().ended) {
--- a/src/metrics/meters.hpp
+++ b/src/metrics/meters.hpp
@@ -52,7 +52,10 @@
 public:
     explicit Meters(MeterRules rules, const std::string& controller);
 
-    void job_taken() { taken_->Increment(); }
+    void job_taken(bool again) {
+        taken_->Increment();
+        if (again) again_->Increment();
+    }
     void job_ended(const JobEnd& end);
     void hop_ended(const HopEnd& end);
     void probe_sent() { probes_->Increment(); }
@@ -70,7 +73,7 @@
     using Gauge = prometheus::Gauge;
     using Histogram = prometheus::Histogram;
     struct Tenants {  // one tenant's counters, by use case and outcome
-        std::map<std::string, std::array<Counter*, 6>, std::less<>> by_use_case;
+        std::map<std::string, std::array<Counter*, 5>, std::less<>> by_use_case;
     };
     Counter& jobs_of(std::string_view use_case, std::string_view tenant, std::size_t outcome);
     Histogram& histogram(prometheus::Family<Histogram>& family, std::map<std::string, Histogram*, std::less<>>& known,
@@ -82,7 +85,7 @@
     prometheus::Family<Counter>*jobs_{}, *function_jobs_{}, *bounces_{}, *hops_{}, *loads_{}, *turned_back_{};
     prometheus::Family<Histogram>*took_{}, *waited_{}, *hop_count_{};
     prometheus::Family<Gauge>* invokers_{};
-    Counter *taken_{}, *probes_{}, *orders_{}, *beliefs_wrong_{}, *recorder_dropped_{}, *log_lost_{}, *unreachable_{};
+    Counter *taken_{}, *again_{}, *looks_{}, *probes_{}, *orders_{}, *beliefs_wrong_{}, *recorder_dropped_{}, *log_lost_{}, *unreachable_{};
     Histogram *hop_took_{}, *load_took_{};
     std::map<std::string, Gauge*> gauges_;
     std::map<std::string, Tenants, std::less<>> by_tenant_;
