--- /dev/null
+++ b/days/alerts/store-slow.jsonnet
@@ -0,0 +1,7 @@
+// The store takes thirty times as long, and a rolling replacement makes everyone fetch.
+(import 'quiet.jsonnet') {
+  happenings: [
+    { at: '12s', kind: 'command', who: 'store', say: 'slow factor=30', 'then': 'slow factor=1', lasts: '10s' },
+    { at: '12s', kind: 'replace', who: ['i1', 'i2', 'i3', 'i4', 'i5', 'i6', 'i7'], each: '300ms', drain: '1s' },
+  ],
+}
--- a/deploy/alerts/plumkeel.jsonnet
+++ b/deploy/alerts/plumkeel.jsonnet
@@ -61,6 +61,7 @@
             'ticket', 'most hops have to load first', 'cold'),
       alert('StoreTrouble',
             'histogram_quantile(0.9, sum by (le) (rate(plumkeel_load_seconds_bucket[%s]))) > %g' % [it.window, it.load_seconds]
+            + ' or max(plumkeel_oldest_load_seconds) > %g' % it.load_seconds
             + ' or sum(rate(plumkeel_copies_met_total{copy="broken"}[%s])) > %g' % [it.window, it.least_jobs_per_s],
             'ticket', 'loads take long, or break', 'store'),
       alert('DrainPastGrace', 'max(plumkeel_oldest_drain_seconds) > %g' % it.drain_grace_s,
@@ -76,8 +77,11 @@
       alert('ListStale', 'max by (controller) (plumkeel_list_age_seconds) > %g' % it.list_age_s,
             'ticket', 'the list of invokers is old', 'list'),
       alert('ControllerStalled',
-            'max by (controller) (plumkeel_loop_lag_seconds) > %g or sum by (controller) (increase(plumkeel_looks_total[%s])) == 0' % [it.stall_s, it.window],
-            'page', 'a controller stands still now and then', 'stalled', '0s'),
+            'max by (controller) (plumkeel_loop_lag_seconds) > %g' % it.stall_s,
+            'page', 'a controller stood still for a while', 'stalled', '0s'),
+      alert('ControllerSilent',
+            'sum by (controller) (increase(plumkeel_looks_total[%s])) == 0' % it.window,
+            'page', 'a controller stands still', 'stalled'),
       alert('MetricsDelayed', 'max by (controller, receiver) (plumkeel_remote_waiting_samples) > %g' % it.waiting_samples,
             'ticket', 'a receiver of measurements does not keep up', 'metrics'),
       alert('MetricsLost', 'sum by (controller) (increase(plumkeel_remote_dropped_samples_total[%s])) > 0' % it.window,
--- a/src/metrics/meters.cpp
+++ b/src/metrics/meters.cpp
@@ -88,7 +88,7 @@
         {"door_connections", "Clients' connections"}, {"functions", "Functions known"}, {"lines_open", "Connections to invokers"},
         {"hops_at_doubted", "Hops out at invokers doubted or set aside"},
         {"oldest_drain_seconds", "For how long an invoker that takes no more has had hops out"},
-        {"pace_median", "Slowness learned of invokers, 1 as their kind: the median"}, {"pace_worst", "And the slowest"},
+        {"oldest_load_seconds", "For how long a function has waited for its one load"}, {"pace_median", "Slowness learned of invokers, 1 as their kind: the median"}, {"pace_worst", "And the slowest"},
         {"list_age_seconds", "Since the list was told"}, {"loop_lag_seconds", "By how much the last look came late"}};
     for (const auto& [name, help] : levels) gauges_[name] = &gauge(name, help)->Add({});
     for (std::size_t i = 0; i < by_ending_.size(); ++i) by_ending_[i] = &hops_->Add({{"ending", endings[i]}});
@@ -151,7 +151,7 @@
     const std::pair<const char*, double> now[] = {
         {"open_jobs", l.open_jobs}, {"parked_jobs", l.parked}, {"door_held_bytes", l.held_bytes}, {"door_connections", l.connections},
         {"functions", l.functions}, {"lines_open", l.lines_open}, {"hops_at_doubted", l.out_at_doubted},
-        {"oldest_drain_seconds", l.oldest_drain_s}, {"pace_median", l.pace_median}, {"pace_worst", l.pace_worst},
+        {"oldest_drain_seconds", l.oldest_drain_s}, {"oldest_load_seconds", l.oldest_load_s}, {"pace_median", l.pace_median}, {"pace_worst", l.pace_worst},
         {"list_age_seconds", l.list_age_s}, {"loop_lag_seconds", l.lag_s}, {"trusted", l.trusted}, {"suspect", l.suspect},
         {"aside", l.aside}, {"easing", l.easing}, {"not_ready", l.not_ready}, {"cold", l.cold}};
     for (const auto& [name, value] : now) gauges_.at(name)->Set(value);
--- a/src/metrics/meters.hpp
+++ b/src/metrics/meters.hpp
@@ -41,6 +41,7 @@
     double trusted{}, suspect{}, aside{}, easing{}, not_ready{}, cold{};
     double out_at_doubted{};     // hops out at invokers that are doubted or set aside
     double oldest_drain_s{};     // since when an invoker that takes no more has had hops out
+    double oldest_load_s{};      // since when a function has waited for its one load
     double pace_median{}, pace_worst{};  // slowness learned of invokers, 1 as their kind
     double list_age_s{}, lag_s{};
     double recorder_dropped{}, log_lost{};
--- a/src/net/real.cpp
+++ b/src/net/real.cpp
@@ -146,6 +146,7 @@
 
 void RealWorld::run() {
     context_.run();
+    context_.restart();  // it may be run again after a stop
 }
 
 void RealWorld::stop() {
--- a/tests/remote_test.cpp
+++ b/tests/remote_test.cpp
@@ -1,6 +1,7 @@
 // Remote write: the pacer's decisions, series and their ends, the spool over kills, and the sender against a
 // receiver that stalls, turns down, cuts and answers late, in virtual time.
 #include <gtest/gtest.h>
+#include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -9,6 +10,7 @@
 #include <limits>
 
 #include "net/memory.hpp"
+#include "net/real.hpp"
 #include "remote/sender.hpp"
 #include "stand/receiver.hpp"
 
@@ -379,5 +381,73 @@
     EXPECT_TRUE(again.breaches().empty());
 }
 
+// On sockets: a process that appends and sends is killed ten times in a backlog, at some moment each.
+TEST_F(SpoolTest, KilledTenTimesInABacklogNothingIsMissingAndNothingCountsTwice) {
+    net::RealWorld world;
+    const auto listened = world.listen({"127.0.0.1", 0});
+    ASSERT_FALSE(listened.error);
+    const std::string address = listened.listener->address().text();
+    stand::WriteReceiver receiver(world, listened.listener);
+    std::uint64_t dice = 5, told = 0;
+    for (int round = 0; round < 11; ++round) {
+        int ends[2];
+        ASSERT_EQ(::pipe2(ends, O_NONBLOCK), 0);
+        receiver.be(round < 3 ? stand::WriteReceiver::Mood::status : stand::WriteReceiver::Mood::takes);
+        const pid_t child = ::fork();
+        if (child == 0) {
+            net::RealWorld own;
+            Spool spool(rules, {"r"});
+            ReceiverRules wanted;
+            wanted.name = "r";
+            wanted.address = address;
+            wanted.pace.first_pause = 5ms;
+            wanted.pace.longest_pause = 20ms;
+            Sender sender(own, wanted, spool, rules.parts, 3, [](const std::string&, const std::string&) {});
+            Scraper scraper(rules.parts);
+            sender.start();
+            std::function<void()> again = [&] {
+                if (round == 10) {  // the last one only sends what is left
+                    if (spool.waiting("r") == 0) _exit(0);
+                } else {
+                    const auto n = static_cast<std::int64_t>(spool.end()) + 1;
+                    spool.append(n, parts_of(scraper, 10, n, static_cast<double>(n)));
+                    if (::write(ends[1], &n, sizeof n) != sizeof n) _exit(1);
+                }
+                sender.tell(5000);
+                own.at(own.now() + 2ms, again);
+            };
+            again();
+            own.run();
+        }
+        ::close(ends[1]);
+        dice = dice * 6364136223846793005ULL + 1442695040888963407ULL;
+        const int status = [&] {
+            int left = 0;
+            if (round < 10) {
+                world.at(world.now() + 50ms + Time(dice >> 46), [&world] { world.stop(); });
+                world.run();
+                ::kill(child, SIGKILL);
+                ::waitpid(child, &left, 0);
+                return 0;
+            }
+            while (::waitpid(child, &left, WNOHANG) == 0) {
+                world.at(world.now() + 10ms, [&world] { world.stop(); });
+                world.run();
+            }
+            return left;
+        }();
+        EXPECT_EQ(status, 0);
+        for (std::uint64_t n = 0; ::read(ends[0], &n, sizeof n) == sizeof n;) told = n;
+        ::close(ends[0]);
+    }
+    EXPECT_GT(told, 100u);
+    EXPECT_TRUE(receiver.breaches().empty());
+    ASSERT_EQ(receiver.series().size(), 10u);
+    for (const auto& [labels, points] : receiver.series()) {
+        ASSERT_GE(points.size(), told);
+        for (std::size_t i = 0; i < points.size(); ++i) ASSERT_EQ(points[i].first, static_cast<std::int64_t>(i) + 1);
+    }
+}
+
 }  // namespace
 }  // namespace plumkeel::remote
