House words in the alert rules and the sketch

Need: two words that the house style excludes stood in a rule's summary and a constant's name. Change: worded anew, nothing else.

--- a/deploy/alerts/plumkeel.jsonnet
+++ b/deploy/alerts/plumkeel.jsonnet
@@ -44,7 +44,7 @@
       alert('TenantSuffers',
             share(rate('plumkeel_jobs_total{outcome=~"late|bounced|written_off",tenant!=""}', 'tenant'), rate('plumkeel_jobs_total{outcome!="abandoned",tenant!=""}', 'tenant'))
             + ' > %g' % it.tenant_not_in_time,
-            'ticket', 'one tenant is served worse than the rest', 'tenant'),
+            'ticket', 'one tenant is worse off than the rest', 'tenant'),
       alert('HopsBreak',
             share(rate('plumkeel_hops_total{ending=~"cut_off|unreachable|overdue"}'), rate('plumkeel_hops_total')) + ' > %g' % it.hops_broken,
             'page', 'hops are cut off or never answered', 'hops'),
--- a/src/metrics/heaviest.cpp
+++ b/src/metrics/heaviest.cpp
@@ -7,7 +7,7 @@
 
 constexpr double fading = 0.8;       // of a count from review to review
 constexpr double clearly = 1.3;      // times as heavy as the one whose place it takes
-constexpr double worth_telling = 3;  // sure counts, at the least
+constexpr double least_told = 3;  // sure counts, at the least
 constexpr std::size_t places_a_review = 8;  // one in so many changes hands
 
 }  // namespace
@@ -45,7 +45,7 @@
     std::sort(residents.begin(), residents.end(), heavier);
     std::size_t changes = std::max<std::size_t>(1, most_told_ / places_a_review);
     for (const auto& [count, name] : strangers) {
-        if (count < worth_telling) break;
+        if (count < least_told) break;
         if (told_.size() >= most_told_) {
             if (changes == 0 || residents.empty() || count < clearly * residents.back().first) break;
             --changes;
--- a/src/remote/pacer.cpp
+++ b/src/remote/pacer.cpp
@@ -33,7 +33,7 @@
     if (now < not_before_) return {0, not_before_};
     if (busy_ >= width()) return {0, Time::max()};
     const double rate = std::max(rules_.least_rate, rules_.catch_up * inflow);
-    // At most a second's worth, or one batch, is saved up.
+    // At most what a second lets in, or one batch, is saved up.
     const double saved = std::max(rate, static_cast<double>(rules_.most_samples));
     tokens_ = std::min(saved, tokens_ + rate * in_seconds(now - filled_));
     filled_ = now;
