After one more read: shipping outlives a broken disk; empty parts hold nothing up

Found by reading: a spool that a full disk broke ended the process through a sender's lane; scrapes waited for ever for parts that hold no series; another number of parts let newer samples overtake; moments could fall behind an earlier run's; an unreadable entry was passed over uncounted; levels walked all functions each second. One generator of chance and one file in memory for the tests stand in place of four and three.

--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -14,6 +14,7 @@
 
     // From now on Results tell so much of the reasons; it changes nothing that is decided.
     void tell(Tell how_much) { tell_ = how_much; }
+    std::size_t parked() const { return parked_; }
 
     Results take(Time now, Job& job);
     Results hop_accepted(Time now, Hop& hop);
--- a/src/fleet/follower.cpp
+++ b/src/fleet/follower.cpp
@@ -85,7 +85,7 @@
     return entries;
 }
 
-Follower::Follower(Time wait, std::uint64_t seed) : wait_(wait), dice_(seed | 1) {}
+Follower::Follower(Time wait, std::uint64_t seed) : wait_(wait), chance_(seed) {}
 
 Follower::Ask Follower::again(bool at_once) {
     // A source that answers at once although nothing changed must not be asked in a tight loop.
@@ -97,10 +97,8 @@
     Step step;
     step.heard = Heard::lost;
     const Time pause = std::min(longest_pause, first_pause * (1 << std::min(lost_ - 1, 6)));
-    dice_ = dice_ * 6364136223846793005ULL + 1442695040888963407ULL;
-    const double chance = static_cast<double>(dice_ >> 33) * 0x1p-31;
     // Spread, so that all controllers do not come back to a source in one moment.
-    step.next = {index_, wait_, Time(static_cast<Time::rep>(static_cast<double>(pause.count()) * (0.5 + chance)))};
+    step.next = {index_, wait_, Time(static_cast<Time::rep>(static_cast<double>(pause.count()) * (0.5 + chance_.next())))};
     return step;
 }
 
--- a/src/fleet/follower.hpp
+++ b/src/fleet/follower.hpp
@@ -12,6 +12,8 @@
 #include <string_view>
 #include <vector>
 
+#include "chance/pcg.hpp"
+
 namespace plumkeel::fleet {
 
 using Time = std::chrono::microseconds;
@@ -63,7 +65,7 @@
     Ask again(bool at_once);
 
     const Time wait_;
-    std::uint64_t dice_;
+    Pcg chance_;
     std::vector<Entry> list_;
     std::uint64_t index_{};
     bool doubting_{};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -487,7 +487,7 @@
     out.held_bytes = static_cast<double>(door_.held_bytes());
     out.connections = static_cast<double>(door_.connections());
     out.functions = static_cast<double>(functions_.size());
-    for (const auto& [name, function] : functions_) out.parked += static_cast<double>(function->parked.size());
+    out.parked = static_cast<double>(controller_.parked());
     std::vector<double> paces;
     for (const auto& [name, post] : posts_) {
         out.lines_open += static_cast<double>(post->lines->open());
@@ -524,8 +524,7 @@
         const auto objection = static_cast<Objection>(i);
         if (door_.counted(objection)) door[told(objection).word] = door_.counted(objection);
     }
-    std::size_t parked = 0, open_lines = 0;
-    for (const auto& [id, ward] : jobs_) parked += ward->state == JobState::parked;
+    std::size_t open_lines = 0;
     boost::json::object standings{{"trusted", 0}, {"suspect", 0}, {"aside", 0}, {"easing", 0}, {"not_ready", 0}};
     static constexpr const char* words[] = {"trusted", "suspect", "aside", "easing"};
     for (const auto& [name, post] : posts_) {
@@ -540,7 +539,7 @@
             {"jobs",
              {{"taken", tally_.taken}, {"honoured", tally_.honoured}, {"bounced", tally_.bounced},
               {"written_off", tally_.written_off}, {"client_left", tally_.abandoned}, {"open", door_.open_jobs()},
-              {"parked", parked}, {"streamed", tally_.streamed}, {"late_answers", tally_.late}}},
+              {"parked", controller_.parked()}, {"streamed", tally_.streamed}, {"late_answers", tally_.late}}},
             {"hops", tally_.hops},
             {"probes", tally_.probes},
             {"orders", tally_.orders},
--- a/src/remote/pacer.cpp
+++ b/src/remote/pacer.cpp
@@ -16,19 +16,10 @@
 
 Pacer::Pacer(PacerRules rules, std::uint64_t seed)
     : rules_(rules),
-      dice_(seed * 2 + 1),
+      chance_(seed),
       batch_(static_cast<double>(rules.least_samples)),
       tokens_(static_cast<double>(rules.most_samples)) {}
 
-// PCG (XSH-RR 64/32), from 0 up to 1.
-double Pacer::chance() {
-    const std::uint64_t old = dice_;
-    dice_ = old * 6364136223846793005ULL + 1442695040888963407ULL;
-    const auto shifted = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
-    const auto turn = static_cast<std::uint32_t>(old >> 59);
-    return ((shifted >> turn) | (shifted << ((32 - turn) & 31))) * 0x1p-32;
-}
-
 Pacer::Leave Pacer::ask(Time now, double inflow) {
     if (now < not_before_) return {0, not_before_};
     if (busy_ >= width()) return {0, Time::max()};
@@ -63,7 +54,7 @@
     batch_ = static_cast<double>(rules_.least_samples);
     tokens_ = std::min(tokens_, batch_);
     pause_ = pause_ == Time{} ? rules_.first_pause : std::min(rules_.longest_pause, pause_ * 2);
-    const Time jittered = span_of(in_seconds(pause_) * (0.5 + chance()));
+    const Time jittered = span_of(in_seconds(pause_) * (0.5 + chance_.next()));
     not_before_ = std::max(not_before_, now + std::max(jittered, std::min(retry_after.value_or(Time{}), rules_.longest_pause * 10)));
 }
 
--- a/src/remote/pacer.hpp
+++ b/src/remote/pacer.hpp
@@ -10,6 +10,8 @@
 #include <cstdint>
 #include <optional>
 
+#include "chance/pcg.hpp"
+
 namespace plumkeel::remote {
 
 using Time = std::chrono::microseconds;
@@ -48,10 +50,8 @@
     int troubles() const { return troubles_; }  // in a row
 
 private:
-    double chance();
-
     const PacerRules rules_;
-    std::uint64_t dice_;
+    Pcg chance_;
     double width_ = 1, batch_;
     double tokens_;
     Time filled_{}, not_before_{}, pause_{};
--- a/src/remote/sender.cpp
+++ b/src/remote/sender.cpp
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 #include <snappy.h>
 
+#include <utility>
+
 #include "http/exchange.hpp"
 
 namespace plumkeel::remote {
@@ -33,7 +35,7 @@
             continue;
         }
         Spool::Batch batch;
-        if (leave.samples > 0) batch = spool_.read(rules_.name, part, leave.samples);
+        if (leave.samples > 0) batch = next(part, leave.samples);
         if (batch.samples == 0) {  // nothing waits, or other lanes are busy enough
             co_await signal_.wait();
             continue;
@@ -47,11 +49,11 @@
         switch (heard) {
             case Heard::taken:
                 counts_.taken += batch.samples;
-                spool_.advance(rules_.name, part, batch.next);
+                moved_on(part, batch.next);
                 break;
             case Heard::never:  // sent again it would meet the same, and hold up what comes behind it
                 counts_.never += batch.samples;
-                spool_.advance(rules_.name, part, batch.next);
+                moved_on(part, batch.next);
                 break;
             case Heard::later:
             case Heard::lost:
@@ -63,6 +65,33 @@
     }
 }
 
+// Scrapes that hold nothing of this part are passed over: else they would wait for it for ever.
+Spool::Batch Sender::next(int part, std::size_t most) {
+    try {
+        Spool::Batch batch = spool_.read(rules_.name, part, most);
+        if (batch.samples == 0) moved_on(part, batch.next);
+        return batch;
+    } catch (const SpoolFault& fault) {
+        spool_broke(fault);
+        return {};
+    }
+}
+
+// A full or broken disk may keep a place from being written. It is known all the same until the process ends; after
+// that some samples are sent once more, just as they were.
+void Sender::moved_on(int part, std::uint64_t place) {
+    try {
+        spool_.advance(rules_.name, part, place);
+        spool_broken_ = false;
+    } catch (const SpoolFault& fault) {
+        spool_broke(fault);
+    }
+}
+
+void Sender::spool_broke(const SpoolFault& fault) {
+    if (!std::exchange(spool_broken_, true)) notice_("spool_broken", fault.what());
+}
+
 net::Task<Heard> Sender::send(const Spool::Batch& batch, std::optional<Time>& retry_after) {
     std::string body;
     snappy::Compress(batch.bytes.data(), batch.bytes.size(), &body);
--- a/src/remote/sender.hpp
+++ b/src/remote/sender.hpp
@@ -40,6 +40,9 @@
 
 private:
     net::Task<> lane(int part);
+    Spool::Batch next(int part, std::size_t most);
+    void moved_on(int part, std::uint64_t place);
+    void spool_broke(const SpoolFault& fault);
     net::Task<Heard> send(const Spool::Batch& batch, std::optional<Time>& retry_after);
     void note(Heard heard, const std::string& what);
 
@@ -53,6 +56,7 @@
     double inflow_{};
     SenderCounts counts_;
     std::string last_trouble_;
+    bool spool_broken_{};
 };
 
 }  // namespace plumkeel::remote
--- a/src/remote/series.hpp
+++ b/src/remote/series.hpp
@@ -4,6 +4,7 @@
 
 #include <prometheus/metric_family.h>
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <string>
@@ -30,12 +31,14 @@
 // monotonic clock from its start, and jumps forward where wall time is far ahead.
 class SampleClock {
 public:
-    SampleClock(Time wall, Time now) : anchor_(wall - now) {}
+    // Nor behind `last_ms`, told in an earlier run.
+    SampleClock(Time wall, Time now, std::int64_t last_ms = 0)
+        : anchor_(std::max(wall, std::chrono::duration_cast<Time>(std::chrono::milliseconds(last_ms))) - now), last_(last_ms) {}
     std::int64_t ms(Time wall, Time now);
 
 private:
     Time anchor_;
-    std::int64_t last_{};
+    std::int64_t last_;
 };
 
 struct Part {
--- a/src/remote/ship.cpp
+++ b/src/remote/ship.cpp
@@ -15,7 +15,7 @@
           notice(std::move(tell)),
           spool(rules.spool, names()),
           scraper(rules.spool.parts),
-          clock(world.wall(), world.now()) {
+          clock(world.wall(), world.now(), spool.newest_ms()) {
         std::uint64_t seed = static_cast<std::uint64_t>(world.wall().count());
         for (const ReceiverRules& each : rules.receivers)
             senders.push_back(std::make_unique<Sender>(world, each, spool, rules.spool.parts, ++seed, notice));
@@ -43,14 +43,15 @@
     void scrape() {
         std::vector<Sample> samples = flat(collect());
         add_own(samples);
-        append(scraper.scrape(samples, clock.ms(world.wall(), world.now())));
+        const std::int64_t at = clock.ms(world.wall(), world.now());
+        append(at, scraper.scrape(samples, at));
         const double inflow = static_cast<double>(samples.size()) / std::chrono::duration<double>(rules.every).count();
         tell(inflow);
     }
 
-    void append(const std::vector<Part>& parts) {
+    void append(std::int64_t at, const std::vector<Part>& parts) {
         try {
-            spool.append(clock.ms(world.wall(), world.now()), parts);
+            spool.append(at, parts);
             if (std::exchange(broken, false)) notice("spool_works", "again");
         } catch (const SpoolFault& fault) {
             for (const Part& each : parts) lost += each.samples;
@@ -81,7 +82,8 @@
 
     void end() {
         ending = true;
-        append(scraper.end(clock.ms(world.wall(), world.now())));
+        const std::int64_t at = clock.ms(world.wall(), world.now());
+        append(at, scraper.end(at));
         tell(0);
         const Time until = world.now() + rules.farewell;
         watch_out(until);
--- a/src/remote/spool.cpp
+++ b/src/remote/spool.cpp
@@ -42,6 +42,13 @@
 
 // An entry: moment, number of samples, size when unpacked, then a zstd frame.
 constexpr std::size_t entry_head = 24;
+constexpr std::size_t largest_entry = 256 * 1024 * 1024;  // a head that claims more is damage
+
+bool unpack(std::string_view entry, std::string& raw) {
+    if (entry.size() < entry_head || get_number(entry, 16) > largest_entry) return false;
+    raw.resize(get_number(entry, 16));
+    return ZSTD_decompress(raw.data(), raw.size(), entry.data() + entry_head, entry.size() - entry_head) == raw.size();
+}
 
 }  // namespace
 
@@ -109,6 +116,7 @@
     mdb_cursor_close(cursor);
     for (const std::string& name : receivers) places_[name].assign(static_cast<std::size_t>(rules_.parts), 0);
     std::vector<std::string> strangers;
+    std::uint64_t wrong_parts = 0;
     check(mdb_cursor_open(txn.txn, store_->places, &cursor), "the spool's places");
     while (mdb_cursor_get(cursor, &key, &value, MDB_NEXT) == MDB_SUCCESS) {
         const std::string_view k = text_of(key);
@@ -118,6 +126,9 @@
         if (split == std::string_view::npos) {
             if (k == "end") end_ = std::max(end_, number);
             if (k == "dropped") dropped_ = number;
+            if (k == "newest") newest_ms_ = static_cast<std::int64_t>(number);
+            if (k == "parts" && number != static_cast<std::uint64_t>(rules_.parts) && !scrapes_.empty())
+                wrong_parts = number;
             continue;
         }
         const auto it = places_.find(std::string(k.substr(0, split)));
@@ -128,6 +139,11 @@
             it->second[part] = number;
     }
     mdb_cursor_close(cursor);
+    if (wrong_parts)
+        throw SpoolFault(rules_.folder + ": holds samples in " + std::to_string(wrong_parts) + " parts: send them with that number, or take another folder");
+    std::string parts;
+    put_number(parts, static_cast<std::uint64_t>(rules_.parts));
+    store_->put(txn, store_->places, "parts", parts);
     for (const std::string& each : strangers) {
         MDB_val k = value_of(each);
         mdb_del(txn.txn, store_->places, &k, nullptr);
@@ -171,13 +187,17 @@
     std::string next;
     put_number(next, end_ + 1);
     store_->put(txn, store_->places, "end", next);
+    std::string newest;
+    put_number(newest, static_cast<std::uint64_t>(at_ms));
+    store_->put(txn, store_->places, "newest", newest);
     txn.commit();
     check(mdb_env_sync(store_->env, 1), "the spool is not on disk");
     bytes_ += scrape.bytes;
+    newest_ms_ = at_ms;
     scrapes_.emplace(end_++, std::move(scrape));
 }
 
-Spool::Batch Spool::read(const std::string& receiver, int part, std::size_t most) const {
+Spool::Batch Spool::read(const std::string& receiver, int part, std::size_t most) {
     Batch batch;
     const auto index = static_cast<std::size_t>(part);
     batch.next = places_.at(receiver)[index];
@@ -189,11 +209,11 @@
         if (samples == 0) continue;
         const std::string key = key_of(it->first, part);
         MDB_val k = value_of(key), v;
-        if (mdb_get(txn.txn, store_->entries, &k, &v) != MDB_SUCCESS) continue;
-        const std::string_view entry = text_of(v);
-        std::string raw(get_number(entry, 16), '\0');
-        const std::size_t n = ZSTD_decompress(raw.data(), raw.size(), entry.data() + entry_head, entry.size() - entry_head);
-        if (ZSTD_isError(n)) continue;
+        std::string raw;
+        if (mdb_get(txn.txn, store_->entries, &k, &v) != MDB_SUCCESS || !unpack(text_of(v), raw)) {
+            dropped_ += samples;
+            continue;
+        }
         if (batch.samples == 0) batch.oldest_ms = it->second.at_ms;
         batch.bytes += raw;
         batch.samples += samples;
@@ -203,7 +223,8 @@
 
 void Spool::advance(const std::string& receiver, int part, std::uint64_t next) {
     std::uint64_t& place = places_.at(receiver)[static_cast<std::size_t>(part)];
-    place = std::max(place, next);
+    if (next <= place) return;
+    place = next;
     Store::Txn txn(store_->env, 0);
     store_->put_place(txn, receiver, part, place);
     txn.commit();
--- a/src/remote/spool.hpp
+++ b/src/remote/spool.hpp
@@ -27,7 +27,8 @@
 
 class Spool {
 public:
-    // Throws SpoolFault where the folder can't be used. Places of receivers not named are let go of.
+    // Throws SpoolFault where the folder can't be used, or holds samples in another number of parts: a series would
+    // change its part, and newer samples overtake older ones. Places of receivers not named are let go of.
     Spool(SpoolRules rules, const std::vector<std::string>& receivers);
     ~Spool();
     Spool(const Spool&) = delete;
@@ -42,13 +43,16 @@
         std::int64_t oldest_ms{};
     };
     // From the receiver's place on, as many whole scrapes as fit into `most`, at least one; 0 samples: nothing waits.
-    Batch read(const std::string& receiver, int part, std::size_t most) const;
+    // An entry that can't be read counts as dropped.
+    Batch read(const std::string& receiver, int part, std::size_t most);
+    // The place holds for this process even where it throws: the disk did not take it.
     void advance(const std::string& receiver, int part, std::uint64_t next);
 
     std::uint64_t waiting(const std::string& receiver) const;  // samples
     std::size_t bytes() const { return bytes_; }
     std::uint64_t dropped() const { return dropped_; }  // samples, over restarts
     std::uint64_t end() const { return end_; }
+    std::int64_t newest_ms() const { return newest_ms_; }  // of all that was ever appended
 
 private:
     void let_go_below(std::uint64_t sequence, bool dropped);
@@ -66,6 +70,7 @@
     std::uint64_t end_{};
     std::size_t bytes_{};
     std::uint64_t dropped_{};
+    std::int64_t newest_ms_{};
 };
 
 }  // namespace plumkeel::remote
--- a/src/tale/stream.cpp
+++ b/src/tale/stream.cpp
@@ -82,6 +82,7 @@
     if (file_ == files_.size()) return;
     std::optional<Record> unused;
     enter_file(unused);
+    missing_ = 0;  // what lies before was not asked for
     for (std::size_t i = 0; i < place_; ++i) read_ += files_[file_].reader->places()[i].records;
     skip_ = again_ = 0;
 }
--- a/src/trace/calls.hpp
+++ b/src/trace/calls.hpp
@@ -31,6 +31,7 @@
     Results probe_answered(Time now, Invoker& invoker, bool came, const Report& report);
     Results load_answered(Time now, Function& function, Invoker& invoker, Ending ending, int copies);
     Results wake(Time now);
+    std::size_t parked() const { return controller_.parked(); }
 
 private:
     std::uint64_t number_of(const Function& function, Time now);
--- a/stand/common.cpp
+++ b/stand/common.cpp
@@ -9,18 +9,6 @@
 
 namespace plumkeel::stand {
 
-Chance::Chance(std::uint64_t seed) : state_(seed * 6364136223846793005ULL + 1442695040888963407ULL) {
-    next();
-}
-
-double Chance::next() {
-    const std::uint64_t old = state_;
-    state_ = old * 6364136223846793005ULL + 1442695040888963407ULL;
-    const auto shifted = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
-    const auto turn = static_cast<std::uint32_t>(old >> 59);
-    return ((shifted >> turn) | (shifted << ((32 - turn) & 31))) * 0x1p-32;
-}
-
 double Chance::exponential(double mean) {
     return -mean * std::log(1 - next());
 }
--- a/stand/common.hpp
+++ b/stand/common.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "chance/pcg.hpp"
 #include "http/http.hpp"
 #include "net/outbox.hpp"
 #include "net/real.hpp"
@@ -21,13 +22,13 @@
 
 class Chance {
 public:
-    explicit Chance(std::uint64_t seed);
-    double next();  // from 0 up to 1
+    explicit Chance(std::uint64_t seed) : pcg_(seed) {}
+    double next() { return pcg_.next(); }  // from 0 up to 1
     double exponential(double mean);
     double lognormal(double mean, double sigma);
 
 private:
-    std::uint64_t state_;
+    Pcg pcg_;
 };
 
 // One JSON object a line, each written at once: a killed process leaves all that it told.
--- a/stand/promql.cpp
+++ b/stand/promql.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::int64_t lookback_ms = 5 * 60 * 1000;
+constexpr int deepest = 200;  // levels of an expression: each takes a part of the stack
 constexpr std::uint64_t stale_bits = 0x7ff0000000000002;
 
 bool stale(double value) {
@@ -464,6 +465,13 @@
     }
 
     Nodes expression(int least) {
+        if (++depth_ > deepest) throw Fault("at " + std::to_string(now().at) + ": nested too deeply");
+        Nodes out = operators(least);
+        --depth_;
+        return out;
+    }
+
+    Nodes operators(int least) {
         Nodes left = unary();
         for (;;) {
             const std::string sign = now().text;
@@ -485,6 +493,7 @@
 
     Nodes unary() {
         if (take("-")) {
+            if (++depth_ > deepest) wrong("less nesting");
             auto both = std::make_unique<Binary>();
             both->sign = "*";
             both->left = std::make_unique<Number>(-1);
@@ -585,6 +594,7 @@
 
     std::vector<Token> tokens_;
     std::size_t at_{};
+    int depth_{};
 };
 
 }  // namespace
--- /dev/null
+++ b/tests/memory_file.hpp
@@ -0,0 +1,20 @@
+// A trace file in memory, to write and to read.
+#pragma once
+
+#include "trace/format.hpp"
+
+namespace plumkeel {
+
+struct MemoryFile : trace::Sink, trace::Source {
+    std::string bytes;
+
+    MemoryFile() = default;
+    explicit MemoryFile(std::string text) : bytes(std::move(text)) {}
+    void append(std::string_view more) override { bytes += more; }
+    std::uint64_t size() const override { return bytes.size(); }
+    std::string read(std::uint64_t offset, std::size_t n) const override {
+        return offset >= bytes.size() ? std::string() : bytes.substr(offset, n);
+    }
+};
+
+}  // namespace plumkeel
--- a/tests/promql_test.cpp
+++ b/tests/promql_test.cpp
@@ -102,6 +102,8 @@
 TEST(Promql, BadTextIsToldWithItsPlace) {
     for (const char* text : {"sum(", "rate(c)", "c[5x]", "c{a}", "1 +", "c{a=\"x\"", "sum by zone (c)", "c)", "histogram_quantile(c)"})
         EXPECT_THROW(Query{text}, Fault) << text;
+    EXPECT_THROW(Query(std::string(100'000, '(')), Fault);
+    EXPECT_THROW(Query(std::string(100'000, '-')), Fault);
     try {
         Query("sum(c))");
         FAIL();
--- a/tests/recorder_test.cpp
+++ b/tests/recorder_test.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <set>
 
+#include "tests/memory_file.hpp"
 #include "tests/toy_trace.hpp"
 #include "trace/calls.hpp"
 #include "trace/recorder.hpp"
@@ -61,21 +62,12 @@
     }
 };
 
-struct Text : Source {
-    const std::string& bytes;
-    explicit Text(const std::string& of) : bytes(of) {}
-    std::uint64_t size() const override { return bytes.size(); }
-    std::string read(std::uint64_t offset, std::size_t n) const override {
-        return offset >= bytes.size() ? std::string() : bytes.substr(offset, n);
-    }
-};
-
 std::vector<std::vector<Record>> read_all(const Disk& disk) {
     std::vector<std::vector<Record>> out;
     for (const auto& [name, bytes] : disk.files) {
         out.emplace_back();
         if (bytes.empty()) continue;  // not even its head was taken
-        const Text source(bytes);
+        const MemoryFile source(bytes);
         Reader(source).walk(Time::min(), [&](const Record& record) {
             out.back().push_back(record);
             return true;
--- a/tests/remote_test.cpp
+++ b/tests/remote_test.cpp
@@ -2,10 +2,12 @@
 // receiver that stalls, turns down, cuts and answers late, in virtual time.
 #include <gtest/gtest.h>
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <cmath>
+#include <csignal>
 #include <filesystem>
 #include <limits>
 
@@ -121,6 +123,21 @@
         last = ms;
     }
     EXPECT_GE(last, (1000s + 2h) / 1ms);
+    // Nor behind what an earlier run told, when the clock was set back between the two.
+    SampleClock after(900s, 0s, 1'000'000);
+    EXPECT_EQ(after.ms(901s, 1s), 1'001'000);
+}
+
+TEST(Series, ASeriesThatEndsGetsItsMarkOnce) {
+    Scraper scraper(1);
+    EXPECT_EQ(scraper.scrape({sample("m", 1, 5), sample("m", 2, 6)}, 1000)[0].samples, 2u);
+    const auto second = scraper.scrape({sample("m", 1, 7)}, 2000);
+    EXPECT_EQ(second[0].samples, 2u);
+    const double mark = stale_mark();
+    EXPECT_NE(second[0].bytes.find(std::string(reinterpret_cast<const char*>(&mark), sizeof mark)), std::string::npos);
+    EXPECT_EQ(scraper.scrape({sample("m", 1, 8)}, 3000)[0].samples, 1u);
+    EXPECT_EQ(scraper.end(4000)[0].samples, 1u);
+    EXPECT_EQ(scraper.series(), 0u);
 }
 
 // ---------------------------------------------------------------- the spool
@@ -192,6 +209,28 @@
     EXPECT_EQ(spool.waiting("a"), 50u);
 }
 
+TEST_F(SpoolTest, AnotherNumberOfPartsIsTakenOnlyOnceNothingWaits) {
+    Scraper scraper(2);
+    {
+        Spool spool(rules, {"a"});
+        spool.append(1000, parts_of(scraper, 20, 1000, 1));
+    }
+    SpoolRules more = rules;
+    more.parts = 3;
+    try {
+        Spool spool(more, {"a"});
+        FAIL();
+    } catch (const SpoolFault& fault) {
+        EXPECT_NE(std::string(fault.what()).find("holds samples in 2 parts"), std::string::npos);
+    }
+    {
+        Spool spool(rules, {"a"});
+        EXPECT_EQ(spool.newest_ms(), 1000);
+        for (int part = 0; part < 2; ++part) spool.advance("a", part, spool.end());
+    }
+    EXPECT_EQ(Spool(more, {"a"}).newest_ms(), 1000);
+}
+
 // Ten times killed at some moment: whatever append() had said is on disk is there.
 TEST_F(SpoolTest, KillsLoseNothingThatWasTaken) {
     std::uint64_t dice = 77;
@@ -287,6 +326,41 @@
     EXPECT_EQ(spool->bytes(), 0u);
 }
 
+// A disk that takes nothing more must not end the process, nor hold up what waits on it already.
+TEST_F(SenderTest, ADiskThatTakesNothingMoreStopsNoSending) {
+    begin();
+    receiver.be(Mood::status, 503);
+    scrape_for(5);
+    receiver.be(Mood::takes);
+    std::signal(SIGXFSZ, SIG_IGN);
+    rlimit before{};
+    ASSERT_EQ(::getrlimit(RLIMIT_FSIZE, &before), 0);
+    const rlimit none{0, before.rlim_max};
+    ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &none), 0);
+    EXPECT_THROW(spool->append(99'000, scraper.scrape({sample("m", 0, 1)}, 99'000)), SpoolFault);
+    sender->tell(series);
+    world.run(world.now() + 30s);
+    ASSERT_EQ(::setrlimit(RLIMIT_FSIZE, &before), 0);
+    EXPECT_EQ(receiver.samples(), 5u * series);
+    EXPECT_EQ(receiver.repeated(), 0u);
+    EXPECT_GE(notices["spool_broken"], 1);
+    EXPECT_NO_THROW(spool->append(100'000, scraper.scrape({sample("m", 0, 2)}, 100'000)));  // and it works again
+    EXPECT_TRUE(receiver.breaches().empty());
+}
+
+// One series falls into one part; the scrapes must not wait for the parts that hold nothing.
+TEST_F(SenderTest, PartsWithoutSeriesHoldNothingUp) {
+    begin();
+    for (int i = 1; i <= 20; ++i) {
+        world.run(world.now() + 1s);
+        spool->append(i * 1000, scraper.scrape({sample("m", 1, i)}, i * 1000));
+        sender->tell(1);
+    }
+    world.run(world.now() + 3s);
+    EXPECT_EQ(receiver.samples(), 20u);
+    EXPECT_EQ(spool->bytes(), 0u);
+}
+
 TEST_F(SenderTest, AfterAStallOfAMinuteAllArrivesAtABoundedRate) {
     begin();
     scrape_for(5);
--- a/tests/tale_test.cpp
+++ b/tests/tale_test.cpp
@@ -2,6 +2,7 @@
 // summaries.
 #include <gtest/gtest.h>
 
+#include "tests/memory_file.hpp"
 #include "tale/anonymous.hpp"
 #include "tale/stream.hpp"
 #include "tale/summary.hpp"
@@ -15,18 +16,9 @@
 
 using namespace std::chrono_literals;
 
-struct Memory : trace::Sink, trace::Source {
-    std::string bytes;
-    void append(std::string_view more) override { bytes += more; }
-    std::uint64_t size() const override { return bytes.size(); }
-    std::string read(std::uint64_t offset, std::size_t n) const override {
-        return offset >= bytes.size() ? std::string() : bytes.substr(offset, n);
-    }
-};
-
 // Files by name, as a disk would hold them.
 struct Shelf {
-    std::map<std::string, Memory> files;
+    std::map<std::string, MemoryFile> files;
 
     void put(const std::string& name, const std::vector<Record>& records, Time begun = Time(1'000'000), std::size_t block = 1500) {
         trace::Writer writer(files[name], begun, block);
@@ -34,7 +26,7 @@
         writer.finish();
     }
     OpenSource open() {
-        return [this](const std::string& name) { return std::make_unique<Memory>(files.at(name)); };
+        return [this](const std::string& name) { return std::make_unique<MemoryFile>(files.at(name)); };
     }
     std::vector<std::string> names() const {
         std::vector<std::string> out;
--- a/tests/trace_fuzz.cpp
+++ b/tests/trace_fuzz.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "tests/memory_file.hpp"
 #include "tale/anonymous.hpp"
 #include "tale/stream.hpp"
 #include "tale/summary.hpp"
@@ -14,15 +15,6 @@
 
 using namespace plumkeel;
 
-struct Memory : trace::Sink, trace::Source {
-    std::string bytes;
-    void append(std::string_view more) override { bytes += more; }
-    std::uint64_t size() const override { return bytes.size(); }
-    std::string read(std::uint64_t offset, std::size_t n) const override {
-        return offset >= bytes.size() ? std::string() : bytes.substr(offset, n);
-    }
-};
-
 template <class What>
 void try_to(What what) {
     try {
@@ -32,9 +24,9 @@
 }
 
 void read_all(const std::string& bytes) {
-    Memory file;
+    MemoryFile file;
     file.bytes = bytes;
-    const auto open = [&](const std::string&) { return std::make_unique<Memory>(file); };
+    const auto open = [&](const std::string&) { return std::make_unique<MemoryFile>(file); };
     try_to([&] {
         auto parts = tale::open_all({"x", "y"}, open);
         std::vector<tale::Chapters*> all;
@@ -80,7 +72,7 @@
 }
 
 std::string file_of(const std::vector<trace::Record>& records) {
-    Memory file;
+    MemoryFile file;
     trace::Writer writer(file, trace::Time(5), 700);
     for (const trace::Record& each : records) writer.add(each);
     writer.finish();
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <map>
 
+#include "tests/memory_file.hpp"
 #include "trace/file.hpp"
 #include "trace/format.hpp"
 #include "trace/recorder.hpp"
@@ -13,15 +14,6 @@
 namespace plumkeel::trace {
 namespace {
 
-struct Memory : Sink, Source {
-    std::string bytes;
-    void append(std::string_view more) override { bytes += more; }
-    std::uint64_t size() const override { return bytes.size(); }
-    std::string read(std::uint64_t offset, std::size_t n) const override {
-        return offset >= bytes.size() ? std::string() : bytes.substr(offset, n);
-    }
-};
-
 std::uint64_t next(std::uint64_t& dice) {
     dice = dice * 6364136223846793005ULL + 1442695040888963407ULL;
     return dice >> 33;
@@ -38,8 +30,8 @@
     return out;
 }
 
-Memory written(const std::vector<Record>& records, std::size_t block = 2000, bool finish = true) {
-    Memory file;
+MemoryFile written(const std::vector<Record>& records, std::size_t block = 2000, bool finish = true) {
+    MemoryFile file;
     Writer writer(file, Time(1000), block);
     for (const Record& each : records) writer.add(each);
     if (finish)
@@ -49,7 +41,7 @@
     return file;
 }
 
-std::vector<Record> read(const Memory& file, std::size_t* harmed = nullptr) {
+std::vector<Record> read(const MemoryFile& file, std::size_t* harmed = nullptr) {
     Reader reader(file);
     std::vector<Record> out;
     reader.walk(Time::min(), [&](const Record& record) {
@@ -69,7 +61,7 @@
 
 TEST(Trace, FindsAMomentAndAJobByItsIndex) {
     const auto records = some(20'000);
-    const Memory file = written(records);
+    const MemoryFile file = written(records);
     Reader reader(file);
     EXPECT_TRUE(reader.finished());
     EXPECT_EQ(reader.begun(), Time(1000));
@@ -102,10 +94,10 @@
 // What was whole before the cut is read, and nothing else; the loss is told.
 TEST(Trace, EveryCutPointKeepsWhatCameBefore) {
     const auto records = some(400);
-    const Memory whole = written(records, 600);
+    const MemoryFile whole = written(records, 600);
     Reader all(whole);
     for (std::size_t cut = 0; cut < whole.bytes.size(); ++cut) {
-        Memory part;
+        MemoryFile part;
         part.bytes = whole.bytes.substr(0, cut);
         if (cut < 40) {
             EXPECT_THROW(Reader{part}, Fault) << cut;
@@ -131,12 +123,12 @@
 // Flipped, cleared and doubled bytes anywhere: no wrong record, ever.
 TEST(Trace, RandomDamageGivesNoWrongRecord) {
     const auto records = some(1500);
-    const Memory whole = written(records, 800);
+    const MemoryFile whole = written(records, 800);
     std::map<std::pair<Time, std::string>, int> known;
     for (const Record& each : records) ++known[{each.at, each.body}];
     std::uint64_t dice = 11;
     for (int round = 0; round < 10'000; ++round) {
-        Memory file = whole;
+        MemoryFile file = whole;
         const int harms = 1 + static_cast<int>(next(dice) % 3);
         std::size_t first = file.bytes.size();
         for (int i = 0; i < harms; ++i) {
@@ -173,7 +165,7 @@
 }
 
 TEST(Trace, AnotherVersionAnEmptyFileAndAnotherKindOfFileAreRefusedPlainly) {
-    Memory file = written(some(10));
+    MemoryFile file = written(some(10));
     file.bytes[8] = 9;
     try {
         Reader reader(file);
@@ -181,7 +173,7 @@
     } catch (const Fault& fault) {
         EXPECT_STREQ(fault.what(), "the trace is of version 9, this reader knows up to 1");
     }
-    Memory empty, other;
+    MemoryFile empty, other;
     other.bytes = "#!/bin/bash\necho this is something else entirely, and long enough\n";
     EXPECT_THROW(Reader{empty}, Fault);
     EXPECT_THROW(Reader{other}, Fault);
