--- a/bench/gateway_cost.cpp
+++ b/bench/gateway_cost.cpp
@@ -14,7 +14,8 @@
 #include <functional>
 #include <iostream>
 
-#include "gateway/gateway.hpp"
+#include "http/http.hpp"
+#include "web/service.hpp"
 #include "net/real.hpp"
 
 namespace {
@@ -187,7 +188,7 @@
         });
         recorded = [&recorder](const trace::Record& record) { recorder->offer(record); };
     }
-    gateway::Gateway gateway(world, charter, log, 1, std::move(recorded));
+    web::Service gateway(world, charter, log, 1, std::move(recorded));
     if (gateway.open()) _exit(1);
     if (recording.stall_s > 0)
         world.at(Time(static_cast<Time::rep>((recording.stall_s + 1) * 1e6)), [&] {
--- /dev/null
+++ b/src/board/board.cpp
@@ -0,0 +1,87 @@
+#include "board/board.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include "net/limit.hpp"
+#include "net/outbox.hpp"
+
+namespace plumkeel::board {
+
+Board::Board(net::World& world, Log& log, Places places, net::Address address, std::uint64_t last, Told told, Patience patience)
+    : world_(world),
+      log_(log),
+      places_(std::move(places)),
+      address_(std::move(address)),
+      order_(last),
+      told_(std::move(told)),
+      patience_(patience),
+      sooner_(world) {}
+
+void Board::follow() {
+    world_.spawn(run());
+}
+
+void Board::move_to(net::Address address) {
+    if (address == address_) return;
+    log_.line(Log::Level::info, "board_moves", {{"from", address_.text()}, {"to", address.text()}});
+    address_ = std::move(address);
+    moved_ = true;
+    lost_ = 0;
+    if (stream_) stream_->close();
+    sooner_.fire();
+}
+
+net::Task<> Board::run() {
+    for (;;) {
+        moved_ = false;
+        const net::Address to = address_;
+        auto connected = co_await world_.connect(to, patience_.connect_within);
+        const char* why = "not_connected";
+        if (!connected.error && !moved_) {
+            ++connections_;
+            stream_ = connected.stream;
+            why = co_await listen(connected.stream);
+        }
+        if (connected.stream) connected.stream->close();
+        stream_.reset();
+        if (moved_) continue;
+        log_.line(Log::Level::warn, "board_lost", {{"why", why}, {"last", order_.last()}});
+        const net::Time pause = std::min(patience_.longest_pause, patience_.first_pause * (1 << std::min(lost_++, 6)));
+        auto ticket = world_.at(world_.now() + pause, [this] { sooner_.fire(); });
+        co_await sooner_.wait();
+        world_.drop(ticket);
+    }
+}
+
+// Returns why it could not go on.
+net::Task<const char*> Board::listen(std::shared_ptr<net::Stream> stream) {
+    const auto outbox = std::make_shared<net::Outbox>(world_, stream);
+    outbox->send(asking(order_.last()));
+    bool silent = false;
+    net::Limit limit(world_, [&] {
+        silent = true;
+        stream->close();
+    });
+    Frames frames(places_);
+    std::array<char, 4096> room;
+    Event event;
+    for (;;) {
+        limit.set(world_.now() + patience_.silent_for);
+        const net::Moved moved = co_await stream->read(net::asio::buffer(room));
+        if (silent) co_return "silent";
+        if (moved.error || moved_) co_return "broke";
+        std::string_view bytes(room.data(), moved.bytes);
+        while (frames.next(bytes, event)) {
+            const Heard heard = order_.hear(event);
+            if (heard == Heard::gap) co_return "gap";
+            told_at_ = world_.now();
+            lost_ = 0;
+            if (heard == Heard::news) told_(event);
+            if (moved_) co_return "moved";
+        }
+        if (frames.broken() != Broken::none) co_return word_of(frames.broken());
+    }
+}
+
+}  // namespace plumkeel::board
--- /dev/null
+++ b/src/board/board.hpp
@@ -0,0 +1,52 @@
+// Follows the notice board over one connection: connects, says which event it has, and hands on what is new. A
+// connection that breaks, leaves out an event, can't be read or falls silent is made anew from the last whole
+// event; meanwhile the last list holds.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "board/frames.hpp"
+#include "log/log.hpp"
+#include "net/world.hpp"
+
+namespace plumkeel::board {
+
+struct Patience {
+    net::Time connect_within = std::chrono::seconds(1);
+    net::Time silent_for = std::chrono::milliseconds(1800);  // the board says something each second
+    net::Time first_pause = std::chrono::milliseconds(50), longest_pause = std::chrono::milliseconds(800);
+};
+
+class Board {
+public:
+    using Told = std::function<void(const Event&)>;
+    Board(net::World& world, Log& log, Places places, net::Address address, std::uint64_t last, Told told, Patience patience = {});
+
+    void follow();  // until the world ends
+    // The board has another address; numbers go on.
+    void move_to(net::Address address);
+    std::uint64_t last() const { return order_.last(); }
+    std::optional<net::Time> told_at() const { return told_at_; }  // when it was last known to be up to date
+    std::uint64_t connections() const { return connections_; }
+
+private:
+    net::Task<> run();
+    net::Task<const char*> listen(std::shared_ptr<net::Stream> stream);
+
+    net::World& world_;
+    Log& log_;
+    const Places places_;
+    net::Address address_;
+    Order order_;
+    const Told told_;
+    const Patience patience_;
+    std::shared_ptr<net::Stream> stream_;
+    std::optional<net::Time> told_at_;
+    std::uint64_t connections_{};
+    int lost_{};
+    bool moved_{};
+    net::Signal sooner_;
+};
+
+}  // namespace plumkeel::board
--- /dev/null
+++ b/src/board/frames.cpp
@@ -0,0 +1,131 @@
+#include "board/frames.hpp"
+
+#include <fmt/format.h>
+
+namespace plumkeel::board {
+namespace {
+
+constexpr std::size_t length_bytes = 4, fixed_bytes = 9, record_bytes = 27;
+constexpr std::size_t most_records = 20'000;
+enum Kind : unsigned char { nothing = 0, whole_list = 1, changes = 2 };
+enum State : unsigned char { up = 0, draining = 1, gone = 2 };
+
+std::uint64_t big(std::string_view bytes, std::size_t at, std::size_t count) {
+    std::uint64_t value = 0;
+    for (std::size_t i = 0; i < count; ++i) value = value << 8 | static_cast<unsigned char>(bytes[at + i]);
+    return value;
+}
+
+std::string place_of(const std::vector<std::string>& names, std::size_t at) {
+    return at < names.size() ? names[at] : std::string();
+}
+
+void put(Event& event, fleet::Entry entry, bool is_gone) {
+    if (is_gone)
+        event.gone.push_back(std::move(entry.name));
+    else
+        event.entries.push_back(std::move(entry));
+}
+
+}  // namespace
+
+const char* word_of(Broken broken) {
+    static constexpr const char* words[] = {"none", "length", "kind", "record"};
+    return words[static_cast<int>(broken)];
+}
+
+bool Frames::next(std::string_view& bytes, Event& event) {
+    while (!bytes.empty() && broken_ == Broken::none) {
+        std::size_t wanted = length_bytes;
+        if (frame_.size() >= length_bytes) {
+            const std::size_t length = big(frame_, 0, length_bytes);
+            if (length < fixed_bytes || length > fixed_bytes + most_records * record_bytes) {
+                broken_ = Broken::length;
+                return false;
+            }
+            wanted += length;
+        }
+        const std::string_view part = bytes.substr(0, wanted - frame_.size());
+        frame_ += part;
+        bytes.remove_prefix(part.size());
+        if (frame_.size() < wanted || wanted == length_bytes) continue;
+        const bool read_it = read(event);
+        frame_.clear();
+        return read_it;
+    }
+    return false;
+}
+
+bool Frames::read(Event& event) {
+    const std::string_view it = std::string_view(frame_).substr(length_bytes);
+    const auto kind = static_cast<unsigned char>(it[8]);
+    event = {};
+    event.number = big(it, 0, 8);
+    event.news = kind != nothing;
+    event.whole = kind == whole_list;
+    std::string_view records = it.substr(fixed_bytes);
+    if (kind > changes) broken_ = Broken::kind;
+    if (records.size() % record_bytes || (kind == nothing && !records.empty())) broken_ = Broken::record;
+    for (; !records.empty() && broken_ == Broken::none; records.remove_prefix(record_bytes)) {
+        const auto state = static_cast<unsigned char>(records[10]);
+        if (state > gone) broken_ = Broken::record;
+        fleet::Entry entry;
+        entry.name = fmt::format("s-{:08x}", big(records, 0, 4));
+        entry.address = fmt::format("{}.{}.{}.{}:{}", big(records, 4, 1), big(records, 5, 1), big(records, 6, 1), big(records, 7, 1),
+                                    big(records, 8, 2));
+        entry.ready = state == up;
+        entry.zone = place_of(places_.zones, big(records, 11, 1));
+        entry.kind = place_of(places_.kinds, big(records, 12, 1));
+        entry.cell = static_cast<int>(big(records, 13, 2));
+        entry.units = static_cast<double>(big(records, 15, 4)) / 1000;
+        if (const std::uint64_t started = big(records, 19, 8); started > 0 && started < 1ULL << 50)
+            entry.started = std::chrono::milliseconds(started);
+        put(event, std::move(entry), state == gone);
+    }
+    return broken_ == Broken::none;
+}
+
+std::string asking(std::uint64_t last) {
+    std::string out;
+    for (int shift = 56; shift >= 0; shift -= 8) out += static_cast<char>(last >> shift & 255);
+    return out;
+}
+
+std::vector<Event> read_known(const settings::json& known) {
+    using settings::get;
+    using settings::json;
+    using settings::need;
+    std::vector<Event> out;
+    for (const json& notice : get<json>(known, "notices", json::array())) {
+        Event& event = out.emplace_back();
+        const json& pool = settings::part(notice, "pool");
+        event.number = need<std::uint64_t>(notice, "rev");
+        event.news = true;
+        event.whole = out.size() == 1 || get<bool>(pool, "all");
+        for (const json& target : get<json>(pool, "targets", json::array())) {
+            fleet::Entry entry;
+            entry.name = need<std::string>(target, "uid");
+            entry.address = need<std::string>(target, "endpoint");
+            const auto state = need<std::string>(target, "state");
+            entry.ready = state == "up";
+            entry.zone = get<std::string>(target, "az");
+            entry.kind = get<std::string>(target, "model");
+            entry.cell = get<int>(target, "pod_group");
+            entry.units = get<double>(target, "capacity_hint", 1.0);
+            if (const auto started = get<double>(target, "boot_ms"); started > 0) entry.started = settings::from_ms(started);
+            put(event, std::move(entry), state == "removed");
+        }
+    }
+    return out;
+}
+
+Heard Order::hear(const Event& event) {
+    if (!event.news) return event.number > last_ ? Heard::gap : Heard::nothing;
+    if (event.number <= last_) return Heard::repeat;
+    // A whole list makes good whatever was missed before it.
+    if (event.number > last_ + 1 && !event.whole) return Heard::gap;
+    last_ = event.number;
+    return Heard::news;
+}
+
+}  // namespace plumkeel::board
--- a/src/charter/charter.hpp
+++ b/src/charter/charter.hpp
@@ -35,11 +35,14 @@
 
 struct LineRules {  // the connections to one invoker
     std::size_t most = 256;
+    std::size_t most_all = 100'000;  // to all invokers together; each has one all the same
+    std::size_t hops_a_line = 1;     // where the protocol carries several
     std::size_t queued = 1024;  // hops that wait for a connection; beyond: turned back as never sent
     Time connect_within = std::chrono::milliseconds(250);
     Time idle_for = std::chrono::seconds(15);
     Time probe_within = std::chrono::milliseconds(500);
     Time order_within = std::chrono::seconds(10);
+    Time answer_within = std::chrono::milliseconds(500);  // from its first byte to its last, where others wait behind it
     std::size_t answer_held = 64 * 1024;  // larger answers stream to the client
     std::size_t stream_ahead = 256 * 1024;  // of a streamed answer, kept for a slow client
 };
--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -5,7 +5,7 @@
 #include <iterator>
 
 #include "charter/reader.hpp"
-#include "gateway/protocol.hpp"
+#include "web/protocol.hpp"
 #include "http/exchange.hpp"
 #include "net/real.hpp"
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -11,9 +11,10 @@
 #include "cli/alerts.hpp"
 #include "cli/client.hpp"
 #include "cli/trace.hpp"
-#include "gateway/gateway.hpp"
+#include "web/service.hpp"
 #include "log/log.hpp"
 #include "net/real.hpp"
+#include "platform/platform.hpp"
 #include "remote/ship.hpp"
 
 namespace {
@@ -42,7 +43,7 @@
         recorder = std::make_unique<trace::Recorder>(charter.trace, charter.name, world.wall());
         recorded = [&recorder](const trace::Record& record) { recorder->offer(record); };
     }
-    gateway::Gateway gateway(world, charter, log, chosen, std::move(recorded));
+    web::Service gateway(world, charter, log, chosen, std::move(recorded));
     gateway.measure_also([&](metrics::Levels& levels) {
         if (recorder) levels.recorder_dropped = static_cast<double>(recorder->dropped());
     });
@@ -96,6 +97,10 @@
     }
     serve_command->add_option("--seed", seed, "of the controller's chance; random if left out");
 
+    CLI::App* platform_command = app.add_subcommand("platform", "run a controller on the platform until SIGTERM");
+    std::string config;
+    platform_command->add_option("--config", config, "the platform's configuration, JSON")->envname("EDGE_CONFIG")->required();
+
     CLI::App* status_command = app.add_subcommand("status", "ask a running controller how it is");
     CLI::App* send_command = app.add_subcommand("send", "send one job and print its answer");
     for (CLI::App* command : {status_command, send_command})
@@ -116,6 +121,7 @@
 
     try {
         if (*serve_command) return serve(read_charter(file, variables(vars)), seed);
+        if (*platform_command) return platform::serve(config);
         if (*check_command) {
             read_charter(file, variables(vars));
             std::cout << file << ": good\n";
--- a/src/door/door.hpp
+++ b/src/door/door.hpp
@@ -68,6 +68,8 @@
     const DoorRules& rules() const { return rules_; }
 
     Objection connection_came();  // counts it in when it says none
+    // One more than the bound, in the place of another that is about to leave.
+    void connection_came_over() { ++connections_; }
     void connection_left();
     // A body of a job is about to be held; `known` bytes, if its length is told.
     Objection head_read(std::size_t known) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,28 +3,25 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <array>
 #include <cassert>
 
-#include "gateway/visit.hpp"
-
 namespace plumkeel::gateway {
 
 using namespace std::chrono_literals;
-namespace field = protocol::field;
-
-constexpr int turned_back_at_once = 64;
 
 class HopErrand : public Errand {
 public:
-    HopErrand(Gateway& gateway, Ward& of, Hop& as) : gateway_(gateway), ward(of), hop(as) {}
+    HopErrand(Gateway& gateway, Ward& of, Hop& as) : Errand(Kind::hop), gateway_(gateway), ward(of), hop(as) {
+        Errand::ward = &of;
+        Errand::hop = &as;
+    }
 
     void ended(Outcome outcome) override { gateway_.hop_ended(*this, std::move(outcome)); }
     bool begins(unsigned status, const std::string& passed) override {
         return gateway_.hop_begins(*this, status, passed);
     }
     void part(std::string bytes) override {
-        if (ward.visit) ward.visit->part(std::move(bytes));
+        if (ward.visit) ward.visit->part(ward, std::move(bytes));
     }
     net::Task<bool> room() override {
         if (!ward.visit) co_return false;
@@ -42,7 +39,7 @@
 
 class ProbeErrand : public Errand {
 public:
-    ProbeErrand(Gateway& gateway, Post& post) : gateway_(gateway), post_(post) { light = true; }
+    ProbeErrand(Gateway& gateway, Post& post) : Errand(Kind::probe), gateway_(gateway), post_(post) {}
     void ended(Outcome outcome) override {
         const bool answered = outcome.status && outcome.ending == Ending::honoured;
         gateway_.feed([&](trace::Watched& it, Time now) { return it.probe_answered(now, post_, answered, outcome.report); });
@@ -55,13 +52,14 @@
 
 class OrderErrand : public Errand {
 public:
-    OrderErrand(Gateway& gateway, Post& post, std::string function, bool awaited)
-        : gateway_(gateway), post_(post), function_(std::move(function)), awaited_(awaited) {
-        light = true;
+    OrderErrand(Gateway& gateway, Post& post, const CopyOrder& order)
+        : Errand(order.copies > 0 ? Kind::hold_copies : Kind::drop_copies), gateway_(gateway), post_(post) {
+        function = order.function->name;
+        copies = order.copies;
     }
     void ended(Outcome outcome) override {
-        const auto it = gateway_.functions_.find(function_);
-        if (!awaited_ || it == gateway_.functions_.end()) return;
+        const auto it = gateway_.functions_.find(function);
+        if (kind == Kind::drop_copies || it == gateway_.functions_.end()) return;
         gateway_.feed([&](trace::Watched& controller, Time now) {
             return controller.load_answered(now, *it->second, post_, outcome.ending, outcome.copies);
         });
@@ -70,12 +68,14 @@
 private:
     Gateway& gateway_;
     Post& post_;
-    const std::string function_;
-    const bool awaited_;
 };
 
 namespace {
 
+double pace_told(const Invoker& invoker) {
+    return invoker.kind ? invoker.kind->pace * invoker.pace : invoker.pace;
+}
+
 trace::Start start_of(const Charter& charter, std::uint64_t seed) {
     trace::Start start{charter.name, seed, charter.rulebook, charter.allowances, {}, {}};
     for (const auto& [name, use] : charter.use_cases) start.use_cases.emplace_back(name, use);
@@ -98,17 +98,16 @@
 
 }  // namespace
 
-Gateway::Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed, trace::Recorded recorded)
+Gateway::Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed, LinesTo lines_to, trace::Recorded recorded)
     : world_(world),
       charter_(std::move(charter)),
       log_(log),
+      lines_to_(std::move(lines_to)),
       door_(charter_.door),
       incarnation_(fmt::format("{}/{:x}", charter_.name, world.wall() / 1ms)),
       tenants_(charter_.tenants),
       controller_(start_of(charter_, seed), use_cases_of(charter_), tenants_of(tenants_), std::move(recorded),
-                  charter_.trace.reasons),
-      roster_(world, charter_.list, incarnation_, log, seed,
-              [this](const auto& changed, bool complete) { fleet_told(changed, complete); }) {
+                  charter_.trace.reasons) {
     if (charter_.metrics.on) meters_ = std::make_unique<metrics::Meters>(charter_.metrics.rules, charter_.name);
 }
 
@@ -116,95 +115,20 @@
     world_.drop(look_);
 }
 
-net::Error Gateway::open() {
-    const auto address = net::Address::parse(charter_.listen);
-    auto listened = world_.listen(*address);
-    if (listened.error) return listened.error;
-    listener_ = std::move(listened.listener);
-    std::vector<fleet::Entry> fixed;
-    for (const StatedInvoker& each : charter_.list.fixed)
-        fixed.push_back({each.name, each.address, each.zone, each.kind, true, each.units, each.cell, {}});
-    fleet_told(fixed, true);
-    if (!charter_.list.consul.empty()) roster_.follow();
+void Gateway::begin() {
     look_at_ = world_.now();
     if (meters_) look();
-    world_.spawn(accept());
-    return {};
-}
-
-net::Task<> Gateway::accept() {
-    const auto listener = listener_;
-    for (;;) {
-        auto accepted = co_await listener->accept();
-        if (accepted.error == net::asio::error::operation_aborted) co_return;
-        if (accepted.error) {
-            // Nearly always for want of descriptors. The connection stays in the backlog, so accepting at
-            // once again would spin.
-            log_.line(Log::Level::error, "accept_broke", {{"why", accepted.error.message()}});
-            co_await world_.sleep(door_.no_descriptors());
-            continue;
-        }
-        door_.accepted();
-        const Objection objection = door_.connection_came();
-        if (objection != Objection::none) {
-            door_.count(objection);
-            world_.spawn(turn_back(std::move(accepted.stream), objection));
-            continue;
-        }
-        const auto visit = std::make_shared<Visit>(*this, ++visit_numbers_, std::move(accepted.stream));
-        visits_[visit->number()] = visit;
-        visit->start();
-    }
-}
-
-// Tells a client that there is no room for its connection. What it sends is read and thrown away for a moment,
-// since a close with unread bytes resets the connection and may overtake what it is told; but only for a few
-// at a time, so that a flood of connections can't hold descriptors this way.
-net::Task<> Gateway::turn_back(std::shared_ptr<net::Stream> stream, Objection objection) {
-    const std::string head = http::HeadWriter(http::status_line(503))
-                                 .add(field::objection, told(objection).word)
-                                 .add(field::outcome, "bounced")
-                                 .add("Retry-After", "1")
-                                 .add("Connection", "close")
-                                 .add("Content-Length", "0")
-                                 .done();
-    const net::asio::const_buffer whole = net::asio::buffer(head);
-    stream->write_now({&whole, 1});
-    stream->end_sending();
-    if (turning_back_ < turned_back_at_once) {
-        ++turning_back_;
-        auto ticket = world_.at(world_.now() + 200ms, [stream] { stream->close(); });
-        std::array<char, 1024> thrown_away;
-        net::Error error;
-        while (!error) {
-            const net::Moved moved = co_await stream->read(net::asio::buffer(thrown_away));
-            error = moved.error;
-        }
-        world_.drop(ticket);
-        --turning_back_;
-    }
-    stream->close();
 }
 
 void Gateway::close(std::function<void()> then) {
     then_ = std::move(then);
     door_.close();
-    if (listener_) listener_->close();
-    const auto visits = visits_;
-    for (const auto& [number, visit] : visits) visit->go_if_idle();
     see_whether_done();
 }
 
 void Gateway::see_whether_done() {
     if (!then_ || door_.open_jobs() > 0) return;
-    if (std::any_of(visits_.begin(), visits_.end(), [](const auto& each) { return each.second->busy(); })) return;
-    const auto then = std::exchange(then_, nullptr);
-    world_.at(world_.now(), then);
-}
-
-void Gateway::visit_gone(const std::shared_ptr<Visit>& visit) {
-    if (visits_.erase(visit->number())) door_.connection_left();
-    see_whether_done();
+    world_.at(world_.now(), std::exchange(then_, nullptr));
 }
 
 // ---------------------------------------------------------------- what happens
@@ -238,14 +162,12 @@
     }
     ward.visit = std::move(visit);
     ward.held = wanted.held;
-    http::HeadWriter tail("");
-    tail.add(field::controller, incarnation_).add(field::job, static_cast<std::int64_t>(ward.id));
-    tail.add(field::use_case, wanted.use_case->name);
-    if (!wanted.mark.empty()) tail.add(field::mark, wanted.mark);
-    tail.add(field::lanes, static_cast<std::int64_t>(wanted.lanes));
-    if (wanted.memory) tail.add(field::memory, static_cast<std::int64_t>(*wanted.memory));
-    tail.lines(wanted.passed).add("Content-Length", static_cast<std::int64_t>(wanted.body.size()));
-    ward.tail = tail.done().substr(2);
+    ward.name = std::move(wanted.name);
+    ward.place = wanted.place;
+    ward.mark = std::move(wanted.mark);
+    ward.passed = std::move(wanted.passed);
+    ward.lanes = wanted.lanes;
+    ward.memory = wanted.memory;
     ward.body = std::make_shared<const std::string>(std::move(wanted.body));
     jobs_[ward.id] = std::move(fresh);
     ++tally_.taken;
@@ -269,7 +191,7 @@
     ward.streams = &errand;
     feed([&](trace::Watched& it, Time now) { return it.hop_accepted(now, errand.hop); });
     ++tally_.streamed;
-    ward.visit->begin(status, ward, passed);
+    ward.visit->begin(ward, status, passed);
     // The job is bound to this answer: no other hop of it can be of use any more.
     for (const auto& other : ward.errands)
         if (other.get() != &errand && other->hop.out) static_cast<Post&>(*other->hop.invoker).lines->call_off(*other);
@@ -300,10 +222,9 @@
             const auto visit = std::exchange(ward.visit, nullptr);
             if (!visit) {
             } else if (ward.streams) {
-                visit->end(whole);
+                visit->end(ward, whole);
             } else if (whole) {
-                visit->say(outcome.status, protocol::outcome_word(ward.state), ward, outcome.passed,
-                           std::move(outcome.body));
+                visit->honoured(ward, outcome.status, outcome.passed, std::move(outcome.body));
             }
             count(ward);
         }
@@ -345,10 +266,25 @@
         if (post->lines)
             post->lines->move_to(*address);
         else
-            post->lines = std::make_unique<Lines>(world_, charter_.lines, *address, line_counts_);
+            post->lines = lines_to_(*address, line_counts_);
         invokers.push_back(post.get());
     }
     feed([&](trace::Watched& it, Time now) { return it.fleet_changed(now, invokers, complete); });
+    withdraw();
+}
+
+void Gateway::fleet_gone(const std::vector<std::string>& names) {
+    std::vector<Invoker*> invokers;
+    for (const std::string& name : names)
+        if (const auto found = posts_.find(name); found != posts_.end()) {
+            found->second->ready = false;
+            invokers.push_back(found->second.get());
+        }
+    feed([&](trace::Watched& it, Time now) { return it.fleet_changed(now, invokers, false); });
+    withdraw();
+}
+
+void Gateway::withdraw() {
     // The module sends nothing new to what takes no more; what waits here for a connection is new as well.
     for (const auto& [name, post] : posts_)
         if (!post->ready || !post->listed) {
@@ -381,48 +317,34 @@
     }
 }
 
-void Gateway::fill(Errand& errand, std::string head, Time within) {
-    errand.head = std::move(head);
-    errand.until = world_.now() + within;
+void Gateway::dispatch(std::shared_ptr<Errand> errand, Post& post, Time within) {
+    errand->invoker = post.name;
+    errand->until = world_.now() + within;
+    post.lines->send(std::move(errand));
 }
 
 void Gateway::send_hop(Hop& hop) {
     Ward& ward = static_cast<Ward&>(*hop.job);
     const auto errand = std::make_shared<HopErrand>(*this, ward, hop);
     ward.errands.push_back(errand);
-    fill(*errand,
-         fmt::format("POST /v1/run/{} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}: {}\r\n{}", http::encoded(ward.function->name),
-                     hop.invoker->name, field::hop, hop.number, field::limit, hop.limit / 1ms, ward.tail),
-         hop.limit);
-    errand->body = ward.body;
     // An invoker may close a connection that idled at the very moment when a hop leaves on it. What may run but
     // once is not put at that risk: it leaves on a connection of its own.
     errand->fresh_line = ward.use_case->repeat == Repeat::single_use;
     ++tally_.hops;
-    static_cast<Post&>(*hop.invoker).lines->send(errand);
+    dispatch(errand, static_cast<Post&>(*hop.invoker), hop.limit);
 }
 
 void Gateway::send_probe(Post& post) {
     ++tally_.probes;
     if (meters_) meters_->probe_sent();
-    const auto errand = std::make_shared<ProbeErrand>(*this, post);
-    fill(*errand, fmt::format("GET /v1/load HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n\r\n", post.name, field::controller, incarnation_),
-         charter_.lines.probe_within);
-    post.lines->send(errand);
+    dispatch(std::make_shared<ProbeErrand>(*this, post), post, charter_.lines.probe_within);
 }
 
 void Gateway::send_order(const CopyOrder& order) {
     ++tally_.orders;
     if (meters_) meters_->copies_ordered();
     Post& post = static_cast<Post&>(*order.invoker);
-    const auto errand = std::make_shared<OrderErrand>(*this, post, order.function->name, order.copies > 0);
-    const std::string copies = order.copies > 0 ? fmt::format("{}: {}\r\n", field::copies, order.copies) : "";
-    fill(*errand,
-         fmt::format("{} /v1/copies/{} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}Content-Length: 0\r\n\r\n",
-                     order.copies > 0 ? "PUT" : "DELETE", http::encoded(order.function->name), post.name,
-                     field::controller, incarnation_, copies),
-         charter_.lines.order_within);
-    post.lines->send(errand);
+    dispatch(std::make_shared<OrderErrand>(*this, post, order), post, charter_.lines.order_within);
 }
 
 // A final answer that the module gives by itself.
@@ -432,7 +354,7 @@
               {{"job", ward.id}, {"function", ward.function->name}, {"use_case", static_cast<const StatedUseCase*>(ward.use_case)->name},
                {"hops", ward.hops.size()}, {"after_ms", (world_.now() - ward.taken) / 1ms}});
     if (const auto visit = std::exchange(ward.visit, nullptr))
-        visit->say(bounced ? 503 : 504, protocol::outcome_word(ward.state), ward, "", "");
+        visit->turned(ward);
     count(ward);
 }
 
@@ -508,7 +430,7 @@
         out.pace_median = *middle;
         out.pace_worst = *std::max_element(paces.begin(), paces.end());
     }
-    if (const auto& told_at = roster_.follower().told()) out.list_age_s = in_seconds(world_.now() - *told_at);
+    if (const auto told_at = list_told()) out.list_age_s = in_seconds(world_.now() - *told_at);
     out.log_lost = static_cast<double>(log_.lost());
     out.unreachable = static_cast<double>(line_counts_.unreachable);
     for (int i = 1; i < static_cast<int>(Objection::count_); ++i) {
@@ -518,6 +440,22 @@
     return out;
 }
 
+boost::json::array Gateway::believed() const {
+    static constexpr const char* words[] = {"trusted", "suspect", "aside", "easing"};
+    boost::json::array out;
+    const auto tenths = [](double x) { return static_cast<double>(static_cast<long>(x * 10 + 0.5)) / 10; };
+    for (const auto& [name, post] : posts_) {
+        if (!post->listed && post->out.empty() && post->lines->open() == 0) continue;
+        boost::json::object row{{"i", name}, {"s", post->ready && post->listed ? words[static_cast<int>(post->standing)] : "not_ready"},
+                                {"out", post->out.size()}, {"lines_out", post->lines->out()}, {"queued", post->lines->waiting()},
+                                {"lines", post->lines->open()}, {"pace", tenths(pace_told(*post))}};
+        if (post->held) row["told"] = tenths(*post->held);
+        if (post->cold_since) row["cold"] = true;
+        out.push_back(std::move(row));
+    }
+    return out;
+}
+
 boost::json::object Gateway::status() const {
     boost::json::object door;
     for (int i = 1; i < static_cast<int>(Objection::count_); ++i) {
@@ -532,7 +470,7 @@
         auto& slot = standings[post->ready && post->listed ? words[static_cast<int>(post->standing)] : "not_ready"];
         slot = slot.as_int64() + 1;
     }
-    const auto& told_at = roster_.follower().told();
+    const auto told_at = list_told();
     return {{"controller", incarnation_},
             {"up_s", static_cast<double>(world_.now().count()) / 1e6},
             {"closing", door_.closing()},
@@ -546,7 +484,7 @@
             {"door", {{"connections", door_.connections()}, {"held_bytes", door_.held_bytes()}, {"turned_back", door}}},
             {"lines",
              {{"open", open_lines}, {"opened", line_counts_.opened}, {"reused", line_counts_.reused},
-              {"unreachable", line_counts_.unreachable}}},
+              {"unreachable", line_counts_.unreachable}, {"late", line_counts_.late}, {"spoilt", line_counts_.spoilt}}},
             {"functions", functions_.size()},
             {"invokers", standings},
             {"list_age_s", told_at ? boost::json::value(static_cast<double>((world_.now() - *told_at).count()) / 1e6)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -11,8 +11,8 @@
 #include "charter/charter.hpp"
 #include "dispatch/controller.hpp"
 #include "door/door.hpp"
-#include "fleet/roster.hpp"
-#include "gateway/lines.hpp"
+#include "fleet/follower.hpp"
+#include "gateway/edges.hpp"
 #include "log/log.hpp"
 #include "metrics/meters.hpp"
 #include "net/world.hpp"
@@ -20,12 +20,13 @@
 
 namespace plumkeel::gateway {
 
-class Visit;
 class HopErrand;
 
 // What a client asked for, as the door has checked it.
 struct Wanted {
     const StatedUseCase* use_case{};
+    std::string name;         // the job's, with its client; empty where the protocol has none
+    std::uint64_t place{};    // by which its visit knows it
     std::string function, tenant, mark, passed;  // `passed`: the fields that go on to the invoker
     Time left{};
     int lanes = 1;
@@ -39,7 +40,11 @@
 // A job as the gateway holds it: the module's part and what is needed to send it and to answer.
 struct Ward : Job {
     std::shared_ptr<Visit> visit;  // until the answer has begun, or the client has left
-    std::string tail;              // the head of its hops, but for what differs from hop to hop
+    std::string name, mark, passed;  // as wanted, as are the next
+    std::uint64_t place{};
+    int lanes{};
+    std::optional<int> memory;
+    std::string tail;              // kept by the invokers' edge: what its hops have in common
     std::shared_ptr<const std::string> body;
     std::size_t held{};  // bytes counted at the door
     std::string_view tenant_name;  // empty: none that the settings name
@@ -60,34 +65,45 @@
 class Gateway {
 public:
     // `recorded` is told every call into the module and its answer, for traces.
-    Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed, trace::Recorded recorded = {});
+    Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed, LinesTo lines_to, trace::Recorded recorded = {});
     ~Gateway();
 
-    // Takes jobs from now on; the error of the listen, if it did not come about.
-    net::Error open();
-    // Takes no more; calls `then` once every open job has its answer and every answer has left.
+    void begin();
+    // Takes no more jobs; calls `then` once every open one has its answer.
     void close(std::function<void()> then);
-    net::Address address() const { return listener_->address(); }
+
+    // For the clients' edge. Null: the job is answered already.
+    Ward* take(Wanted wanted, std::shared_ptr<Visit> visit);
+    void client_left(Ward& ward);
+    // For the edge that follows the list; with `complete`, all others are gone.
+    void fleet_told(const std::vector<fleet::Entry>& changed, bool complete);
+    void fleet_gone(const std::vector<std::string>& names);
+    void list_told_by(std::function<std::optional<Time>()> told) { list_told_ = std::move(told); }
+
+    net::World& world() { return world_; }
+    const Charter& charter() const { return charter_; }
+    Door& door() { return door_; }
+    Log& log() { return log_; }
+    const std::string& incarnation() const { return incarnation_; }
+    void tell_spoilt(decltype(LineCounts::tell_spoilt) tell) { line_counts_.tell_spoilt = std::move(tell); }
     boost::json::object status() const;
+    // For each invoker what the module believes, beside what is on the connections.
+    boost::json::array believed() const;
     // Null where the settings want no measurements. Levels are those of the last look.
     metrics::Meters* meters() { return meters_.get(); }
     // What others count, told with each look.
     void measure_also(std::function<void(metrics::Levels&)> also) { measure_also_ = std::move(also); }
 
 private:
-    friend class Visit;
     friend class HopErrand;
     friend class ProbeErrand;
     friend class OrderErrand;
 
-    net::Task<> accept();
-    net::Task<> turn_back(std::shared_ptr<net::Stream> stream, Objection objection);
-    Ward* take(Wanted wanted, std::shared_ptr<Visit> visit);
-    void client_left(Ward& ward);
     void hop_ended(HopErrand& errand, Outcome outcome);
     bool hop_begins(HopErrand& errand, unsigned status, const std::string& passed);
-    void fleet_told(const std::vector<fleet::Entry>& changed, bool complete);
+    std::optional<Time> list_told() const { return list_told_ ? list_told_() : std::nullopt; }
 
+    void withdraw();
     void carry_out(const Results& results);
     void send_hop(Hop& hop);
     void send_probe(Post& post);
@@ -96,11 +112,10 @@
     void count(const Ward& ward);
     void let_on(Ward& ward);
     void drop_if_closed(Ward& ward);
-    void visit_gone(const std::shared_ptr<Visit>& visit);
     void see_whether_done();
     void look();
     metrics::Levels levels() const;
-    void fill(Errand& errand, std::string head, Time within);
+    void dispatch(std::shared_ptr<Errand> errand, Post& post, Time within);
     // Every call into the module goes through here.
     template <class Call>
     void feed(Call call);
@@ -108,6 +123,7 @@
     net::World& world_;
     const Charter charter_;
     Log& log_;
+    const LinesTo lines_to_;
     Door door_;
     std::string incarnation_;  // name and start, told with each hop
     std::map<std::string, Tenant> tenants_;
@@ -118,20 +134,16 @@
     LineCounts line_counts_;
     Tally tally_;
     trace::Watched controller_;
-    fleet::Roster roster_;
+    std::function<std::optional<Time>()> list_told_;
     std::unique_ptr<metrics::Meters> meters_;
     std::function<void(metrics::Levels&)> measure_also_;
     net::World::Ticket look_{};
     Time look_at_{};
     std::uint64_t looks_{};
-    std::shared_ptr<net::Listener> listener_;
-    std::map<std::uint64_t, std::shared_ptr<Visit>> visits_;  // in the order in which they came
-    std::uint64_t visit_numbers_{};
     std::uint64_t ids_{};
     net::World::Ticket wake_{};
     Time wake_at_ = Time::max();
     bool feeding_{};
-    int turning_back_{};
     std::function<void()> then_;
 };
 
--- a/src/net/real.cpp
+++ b/src/net/real.cpp
@@ -162,11 +162,16 @@
 }
 
 void RealWorld::on_end_signal(std::function<void()> what) {
-    spawn(watch_signals(std::move(what)));
+    spawn(watch_signals({SIGTERM, SIGINT}, std::move(what)));
 }
 
-Task<> RealWorld::watch_signals(std::function<void()> what) {
-    asio::signal_set signals(context_, SIGTERM, SIGINT);
+void RealWorld::on_signal(int number, std::function<void()> what) {
+    spawn(watch_signals({number}, std::move(what)));
+}
+
+Task<> RealWorld::watch_signals(std::vector<int> numbers, std::function<void()> what) {
+    asio::signal_set signals(context_);
+    for (const int each : numbers) signals.add(each);
     for (;;) {
         const auto [error, number] = co_await signals.async_wait(told);
         if (error) co_return;
--- a/src/net/real.hpp
+++ b/src/net/real.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "net/world.hpp"
 
@@ -21,15 +22,16 @@
 
     void run();   // until stop() or nothing is left to do
     void stop();  // what still waits is destroyed with the world
-    // Tells of SIGTERM and SIGINT, each time.
+    // Tells of SIGTERM and SIGINT, each time; or of one signal.
     void on_end_signal(std::function<void()> what);
+    void on_signal(int number, std::function<void()> what);
     // Feeds lines of the standard input; an empty optional at its end.
     void on_input_line(std::function<void(std::optional<std::string>)> what);
 
 private:
     void arm(Time when) override;
     Task<> read_input(std::function<void(std::optional<std::string>)> what);
-    Task<> watch_signals(std::function<void()> what);
+    Task<> watch_signals(std::vector<int> numbers, std::function<void()> what);
 
     asio::io_context context_{1};
     asio::steady_timer timer_{context_};
--- /dev/null
+++ b/src/runline/lines.cpp
@@ -0,0 +1,296 @@
+#include "runline/lines.hpp"
+
+#include <algorithm>
+
+#include "gateway/gateway.hpp"
+#include "net/limit.hpp"
+#include "runline/words.hpp"
+
+namespace plumkeel::runline {
+
+using namespace std::chrono_literals;
+using proof::Cause;
+using proof::Reached;
+
+constexpr std::size_t read_at_once = 8 * 1024, line_most = 1024;
+
+class Wire : public std::enable_shared_from_this<Wire> {
+public:
+    explicit Wire(Lines& lines)
+        : lines_(lines),
+          world_(lines.world_),
+          idle_(lines.world_, [this] {
+              if (out_.empty()) close();
+          }),
+          half_(lines.world_, [this] { spoilt("half_an_answer"); }) {
+        ++lines_.open_all_;
+    }
+
+    void start() { world_.spawn(live(shared_from_this(), lines_.address_)); }
+
+    void take(const std::shared_ptr<Errand>& errand, std::string id) {
+        Lines::carrier(*errand) = shared_from_this();
+        Lines::set_state(*errand, Errand::State::out);
+        idle_.clear();
+        out_.push_back({std::move(id), errand, 0, world_.now()});
+        if (outbox_) {
+            ++lines_.counts_.reused;
+            put(out_.back());
+        }
+    }
+
+    // The errand ends by word of the module or by its time. It stays known, so that its late answer is no surprise.
+    Reached take_off(Errand& errand, Cause cause) {
+        const auto it = std::find_if(out_.begin(), out_.end(), [&](const Placed& p) { return p.errand.get() == &errand; });
+        if (it == out_.end()) return Reached::may_have_run;
+        const Placed placed = *it;
+        out_.erase(it);
+        Lines::carrier(errand).reset();
+        if (!outbox_) return Reached::nothing_connected;
+        // Queued is as good as written: what waits for room here leaves before the word that calls it off.
+        if (!errand.light()) outbox_->send(stop(placed.id));
+        // Nothing at all heard for the whole of a probe's time: this connection is of no use, whatever the invoker is.
+        if (errand.light() && cause == Cause::time_ran_out && heard_ <= placed.since) spoilt("silent");
+        rest();
+        return Reached::may_have_run;
+    }
+
+    void close() {
+        if (!alive_) return;
+        alive_ = false;
+        idle_.clear();
+        half_.clear();
+        if (stream_) stream_->close();
+        if (outbox_) outbox_->abandon();
+    }
+
+    // Takes nothing new; goes once nothing is out on it.
+    void retire() {
+        retired_ = true;
+        rest();
+    }
+
+    bool takes() const { return alive_ && !retired_; }
+    std::size_t load() const { return out_.size(); }
+    net::Time heard() const { return heard_; }
+    bool bears(std::string_view id) const {
+        return std::any_of(out_.begin(), out_.end(), [&](const Placed& p) { return p.id == id; });
+    }
+    std::size_t hops() const {
+        return static_cast<std::size_t>(std::count_if(out_.begin(), out_.end(), [](const Placed& p) { return !p.errand->light(); }));
+    }
+    // Hops none of whose bytes has left.
+    void unsent(std::vector<std::shared_ptr<Errand>>& into) const {
+        for (const Placed& placed : out_)
+            if (!outbox_ && !placed.errand->light()) into.push_back(placed.errand);
+    }
+
+private:
+    struct Placed {
+        std::string id;
+        std::shared_ptr<Errand> errand;
+        std::size_t whole_at;  // bytes of the connection by which all of it has left
+        net::Time since;
+    };
+
+    void put(Placed& placed) {
+        const Errand& errand = *placed.errand;
+        placed.since = world_.now();
+        if (errand.light()) {
+            outbox_->send(probe(placed.id, !lines_.sight_.report_fields.empty()));
+        } else {
+            const gateway::Ward& ward = *errand.ward;
+            outbox_->send(run(placed.id, static_cast<const StatedUseCase*>(ward.use_case)->name, ward.function->name,
+                              (errand.until - world_.now()) / 1ms, ward.body->size()),
+                          ward.body);
+            outbox_->send(std::string(body_end));
+        }
+        placed.whole_at = outbox_->sent() + outbox_->pending();
+    }
+
+    net::Task<> live(std::shared_ptr<Wire> self, net::Address address) {
+        auto connected = co_await world_.connect(address, lines_.rules_.connect_within);
+        if (connected.error) {
+            ++lines_.counts_.unreachable;
+            alive_ = false;
+        } else {
+            ++lines_.counts_.opened;
+            stream_ = std::move(connected.stream);
+            if (alive_) co_await talk();
+        }
+        const bool was_idle = alive_ && out_.empty() && stream_;
+        if (was_idle) ++lines_.counts_.broke_idle;
+        close();
+        alive_ = false;
+        if (stream_) stream_->close();
+        const auto ends = std::exchange(out_, {});
+        const std::size_t sent = outbox_ ? outbox_->sent() : 0;
+        lines_.wire_gone(self);
+        for (const Placed& placed : ends) {
+            Lines::carrier(*placed.errand).reset();
+            const Reached reached = !outbox_ ? Reached::nothing_connected : sent >= placed.whole_at ? Reached::may_have_run : Reached::not_written;
+            lines_.end(placed.errand, proof::ending_of(reached, outbox_ ? Cause::line_broke : Cause::no_connection));
+        }
+    }
+
+    net::Task<> talk() {
+        outbox_ = std::make_shared<net::Outbox>(world_, stream_);
+        heard_ = world_.now();
+        for (Placed& placed : out_) put(placed);
+        rest();
+        Reader reader(line_most, lines_.rules_.answer_held);
+        std::vector<char> room(read_at_once);
+        Answer answer;
+        while (alive_) {
+            const net::Moved moved = co_await stream_->read(net::asio::buffer(room));
+            if (moved.error || !alive_) co_return;
+            heard_ = world_.now();
+            std::string_view bytes(room.data(), moved.bytes);
+            while (alive_ && reader.next(bytes, answer)) answered(answer);
+            if (reader.broken() != Broken::none) spoilt(word_of(reader.broken()));
+            if (!alive_) co_return;
+            // An answer that has begun and does not come whole holds up all others behind it.
+            if (!reader.midway())
+                half_.clear();
+            else if (!half_.is_set())
+                half_.set(world_.now() + lines_.rules_.answer_within);
+        }
+    }
+
+    // An answer under an id that is not out is one called off before, or a second copy: of no consequence.
+    void answered(Answer& answer) {
+        const auto it = std::find_if(out_.begin(), out_.end(), [&](const Placed& p) { return p.id == answer.id; });
+        if (it == out_.end()) {
+            ++lines_.counts_.late;
+            return;
+        }
+        const auto errand = it->errand;
+        const bool of_probe = answer.word == "well" || answer.word == "ill";
+        if (errand->light() != of_probe) return spoilt("wrong_word");
+        out_.erase(it);
+        Lines::carrier(*errand).reset();
+        gateway::Outcome outcome;
+        outcome.ending = of_probe ? (answer.word == "well" ? Ending::honoured : Ending::errored) : ending_of(answer.word);
+        outcome.note = note_of(answer.fields);
+        outcome.company = lines_.sight_.says_company ? company_of(answer.fields) : 0;
+        outcome.report = report_of(answer.fields, lines_.sight_.report_fields);
+        outcome.status = 200;
+        outcome.body = std::move(answer.body);
+        rest();
+        lines_.end(errand, std::move(outcome));
+        if (alive_) lines_.wire_free();
+    }
+
+    void spoilt(const char* why) {
+        if (!alive_) return;
+        ++lines_.counts_.spoilt;
+        if (lines_.counts_.tell_spoilt) lines_.counts_.tell_spoilt(lines_.address_.text(), why, out_.size());
+        close();
+    }
+
+    void rest() {
+        if (!out_.empty() || !alive_) return;
+        if (retired_) return close();
+        idle_.set(world_.now() + lines_.rules_.idle_for);
+    }
+
+    Lines& lines_;
+    net::World& world_;
+    bool alive_ = true, retired_{};
+    std::shared_ptr<net::Stream> stream_;
+    std::shared_ptr<net::Outbox> outbox_;  // once connected
+    std::vector<Placed> out_;
+    net::Time heard_{};
+    net::Limit idle_, half_;
+};
+
+Lines::Lines(net::World& world, const LineRules& rules, const Sight& sight, net::Address address, gateway::LineCounts& counts,
+             std::size_t& open_all)
+    : gateway::Lines(world), rules_(rules), sight_(sight), address_(std::move(address)), counts_(counts), open_all_(open_all) {}
+
+Lines::~Lines() = default;
+
+bool Lines::carry(const std::shared_ptr<Errand>& errand) {
+    if (dispatch(errand)) return true;
+    if (queue_.size() >= rules_.queued) return false;
+    queue_.push_back(errand);
+    return true;
+}
+
+std::string Lines::id_of(const Errand& errand) {
+    return errand.light() ? "p" + std::to_string(++tags_) : errand.ward->name;
+}
+
+// The connection that bears least, or a new one while there may be more. A probe asks the one that has been silent
+// longest while something is out on it: it is the one in doubt.
+std::shared_ptr<Wire> Lines::choose(const Errand& errand) {
+    std::shared_ptr<Wire> best;
+    for (const auto& wire : wires_) {
+        if (!wire->takes()) continue;
+        if (errand.light()) {
+            if (!best || (wire->load() > 0 && (best->load() == 0 || wire->heard() < best->heard()))) best = wire;
+            continue;
+        }
+        if (wire->load() >= rules_.hops_a_line || wire->bears(errand.ward->name)) continue;
+        if (!best || wire->load() < best->load()) best = wire;
+    }
+    const bool room = wires_.size() < rules_.most && open_all_ < rules_.most_all;
+    const bool new_one = !best || (!errand.light() && best->load() > 0);
+    if (new_one && (room || (wires_.empty() && open_all_ < rules_.most_all + rules_.most))) {
+        best = wires_.emplace_back(std::make_shared<Wire>(*this));
+        best->start();
+    }
+    return best;
+}
+
+bool Lines::dispatch(const std::shared_ptr<Errand>& errand) {
+    const auto wire = choose(*errand);
+    if (!wire) return false;
+    wire->take(errand, id_of(*errand));
+    return true;
+}
+
+void Lines::wire_free() {
+    while (!queue_.empty()) {
+        const auto errand = queue_.front();
+        if (errand->state() != Errand::State::ended && !dispatch(errand)) return;
+        queue_.pop_front();
+    }
+}
+
+void Lines::wire_gone(const std::shared_ptr<Wire>& wire) {
+    if (std::erase(wires_, wire)) --open_all_;
+    wire_free();
+}
+
+Reached Lines::take_off(Errand& errand, Cause cause) {
+    if (const auto wire = std::static_pointer_cast<Wire>(carrier(errand))) return wire->take_off(errand, cause);
+    std::erase(queue_, errand.shared_from_this());
+    return Reached::not_written;
+}
+
+void Lines::withdraw() {
+    std::vector<std::shared_ptr<Errand>> unsent;
+    for (const auto& errand : queue_)
+        if (!errand->light()) unsent.push_back(errand);
+    for (const auto& wire : wires_) wire->unsent(unsent);
+    for (const auto& errand : unsent) stop(*errand, Cause::withdrawn);
+}
+
+void Lines::move_to(net::Address address) {
+    if (address == address_) return;
+    address_ = std::move(address);
+    close();
+}
+
+void Lines::close() {
+    for (const auto& wire : std::vector(wires_)) wire->retire();
+}
+
+std::size_t Lines::out() const {
+    std::size_t n = 0;
+    for (const auto& wire : wires_) n += wire->hops();
+    return n;
+}
+
+}  // namespace plumkeel::runline
--- /dev/null
+++ b/src/settings/fields.hpp
@@ -0,0 +1,57 @@
+// Fields of a JSON object that may be absent, null or of the wrong type. Every complaint names the field.
+#pragma once
+
+#include <chrono>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+
+namespace plumkeel::settings {
+
+using nlohmann::json;
+using Time = std::chrono::microseconds;
+
+struct Fault : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+inline Time from_ms(double ms) {
+    return Time(std::llround(ms * 1000.0));
+}
+
+template <class T>
+T get(const json& object, const char* key, T otherwise = {}) {
+    const auto it = object.find(key);
+    if (it == object.end() || it->is_null()) return otherwise;
+    try {
+        return it->get<T>();
+    } catch (const json::exception&) {
+        throw Fault(std::string("field '") + key + "' is of the wrong type");
+    }
+}
+
+inline bool has(const json& object, const char* key) {
+    const auto it = object.find(key);
+    return it != object.end() && !it->is_null();
+}
+
+template <class T>
+T need(const json& object, const char* key) {
+    if (!has(object, key)) throw Fault(std::string("field '") + key + "' is missing");
+    return get<T>(object, key);
+}
+
+inline Time span(const json& object, const char* key, Time otherwise = {}) {
+    return has(object, key) ? from_ms(get<double>(object, key)) : otherwise;
+}
+
+inline const json& part(const json& object, const char* key) {
+    static const json nothing = json::object();
+    const auto it = object.find(key);
+    if (it == object.end() || it->is_null()) return nothing;
+    if (!it->is_object()) throw Fault(std::string("field '") + key + "' is no object");
+    return *it;
+}
+
+}  // namespace plumkeel::settings
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -1,15 +1,13 @@
 // The adapter to the simulator's wire: one line of JSON in, one out. It decodes into calls of the decision
 // module, encodes what they return, hosts an instance of the module for each controller, and turns ids into
 // objects. All names of the wire end here, and nothing is decided here.
-#include <cmath>
 #include <iostream>
 #include <map>
 #include <memory>
-#include <nlohmann/json.hpp>
-#include <stdexcept>
 #include <string>
 #include <unordered_map>
 
+#include "settings/settings.hpp"
 #ifdef PLUMKEEL_TRACED
 #include "simhost/traced.hpp"
 #else
@@ -18,65 +16,19 @@
 
 namespace {
 
-using nlohmann::json;
 using namespace plumkeel;
+using settings::Fault;
+using settings::from_ms;
+using settings::get;
+using settings::has;
+using settings::json;
+using settings::need;
+using settings::span;
 
-struct Fault : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
-
-Time from_ms(double ms) {
-    return Time(std::llround(ms * 1000.0));
-}
 double to_ms(Time t) {
     return static_cast<double>(t.count()) / 1000.0;
 }
 
-// A field that may be absent or null.
-template <class T>
-T get(const json& object, const char* key, T otherwise = {}) {
-    const auto it = object.find(key);
-    if (it == object.end() || it->is_null()) return otherwise;
-    try {
-        return it->get<T>();
-    } catch (const json::exception&) {
-        throw Fault(std::string("field '") + key + "' is of the wrong type");
-    }
-}
-
-bool has(const json& object, const char* key) {
-    const auto it = object.find(key);
-    return it != object.end() && !it->is_null();
-}
-
-template <class T>
-T need(const json& object, const char* key) {
-    if (!has(object, key)) throw Fault(std::string("field '") + key + "' is missing");
-    return get<T>(object, key);
-}
-
-Time span(const json& object, const char* key) {
-    return from_ms(get<double>(object, key));
-}
-
-const json& part(const json& object, const char* key) {
-    static const json nothing = json::object();
-    const auto it = object.find(key);
-    if (it == object.end() || it->is_null()) return nothing;
-    if (!it->is_object()) throw Fault(std::string("field '") + key + "' is no object");
-    return *it;
-}
-
-Repeat repeat_of(const std::string& word) {
-    if (word == "retryable") return Repeat::replayable;
-    return word == "dedup" ? Repeat::referenced : Repeat::single_use;
-}
-
-Reach reach_of(const std::string& word) {
-    if (word == "all") return Reach::everywhere;
-    return word == "zone" ? Reach::zone : Reach::cell;
-}
-
 Ending ending_of(const std::string& word) {
     if (word == "completed") return Ending::honoured;
     if (word == "saturated") return Ending::turned_away;
@@ -107,49 +59,12 @@
 class Instance {
 public:
     Instance(std::string who, Time clock, const json& hello) : who_(std::move(who)), start_(clock) {
-        const json& setup = part(hello, "setup");
-        const json& rules = part(setup, "rules");
-        const json& family = part(setup, "family_info");
-        const json& limits = part(setup, "limits");
-
-        Rulebook book;
-        book.cold_for = span(rules, "cold");
-        book.cold_share = get<double>(rules, "cold_share");
-        book.push_multiple = get<double>(rules, "fall_multiple");
-        book.push_span = span(rules, "overload_for");
-        book.load_span = span(family, "load_span");
-        book.free_loads = get<double>(family, "free_loads");
-        book.loads_per_job = get<double>(family, "loads_per_request");
-
-        Allowances may;
-        may.call_off = get<bool>(limits, "may_cancel");
-        may.probe = get<bool>(limits, "probes");
-        may.second_copies = get<bool>(limits, "second_copies");
-        may.retry_after = get<bool>(limits, "retry_after");
-        may.hops = get<int>(limits, "send_cap");
-        may.longest_retry_after = span(limits, "max_retry_after");
-        may.order_copies = get<bool>(family, "may_order");
-        may.loads_on_demand = get<std::string>(family, "if_cold") != "miss";
-        may.keep_alive = span(family, "linger_idle");
-        may.memory_price = get<double>(family, "memory_price");
-        may.ask_for_list = get<std::string>(setup, "discovery") == "subscribe";
-        may.steady_units = get<std::string>(setup, "weight_source") != "live";
-        may.controllers = get<int>(setup, "fleet_size");
-        may.tick = span(setup, "quantum");
-        says_company_ = get<bool>(family, "says_company");
-
-        for (const json& entry : get<json>(setup, "classes", json::array())) {
-            UseCase& use = use_cases_[need<std::string>(entry, "name")];
-            use.promised = span(entry, "aim");
-            use.repeat = repeat_of(get<std::string>(entry, "semantics"));
-            use.reach = reach_of(get<std::string>(entry, "group"));
-            use.remembered = span(entry, "repeat_window");
-        }
-        for (const json& entry : get<json>(setup, "realms", json::array()))
-            tenants_[need<std::string>(entry, "name")].share_per_s = get<double>(entry, "quota_per_s");
-        for (const json& name : get<json>(part(setup, "report"), "fields", json::array()))
-            fields_.push_back(name.is_string() ? name.get<std::string>() : std::string());
-        controller_ = host(who_, start_, seed_of(hello), book, may, use_cases_, tenants_);
+        const settings::Settings told = settings::read(settings::part(hello, "setup"));
+        use_cases_ = told.use_cases;
+        tenants_ = told.tenants;
+        fields_ = told.report_fields;
+        says_company_ = told.says_company;
+        controller_ = host(who_, start_, seed_of(hello), told.rulebook, told.allowances, use_cases_, tenants_);
     }
 
     void event(const std::string& kind, const json& e, Time clock, const json* bank, json& actions) {
@@ -265,9 +180,7 @@
         if (it == e.end() || !it->is_array()) return out;
         for (std::size_t i = 0; i < it->size() && i < fields_.size(); ++i) {
             if (!(*it)[i].is_number()) continue;
-            const double value = (*it)[i].get<double>();
-            if (fields_[i] == "active") out.held = value;
-            if (fields_[i] == "waiting") out.queued = value;
+            settings::put_figure(out, fields_[i], (*it)[i].get<double>());
         }
         return out;
     }
--- a/src/gateway/lines.cpp
+++ b/src/web/lines.cpp
@@ -1,15 +1,22 @@
-#include "gateway/lines.hpp"
+#include "web/lines.hpp"
+
+#include <fmt/format.h>
 
 #include <algorithm>
 
+#include "gateway/gateway.hpp"
+#include "http/http.hpp"
 #include "orca/orca.hpp"
+#include "web/protocol.hpp"
 
-namespace plumkeel::gateway {
+namespace plumkeel::web {
 
+using namespace std::chrono_literals;
 namespace bh = http::bh;
-using protocol::Cause;
-using protocol::ending_of;
-using protocol::Reached;
+namespace field = protocol::field;
+using proof::Cause;
+using proof::ending_of;
+using proof::Reached;
 
 constexpr std::size_t light_lines = 2;  // past the cap, for probes and orders
 
@@ -51,31 +58,33 @@
 
     Reached reached() const {
         if (!stream_) return Reached::nothing_connected;
-        return outbox_->sent() > sent_before_ ? Reached::some_written : Reached::nothing_written;
+        return outbox_->sent() > sent_before_ ? Reached::may_have_run : Reached::not_written;
     }
 
     std::shared_ptr<Errand> let_go() {
-        if (errand_) errand_->line_.reset();
+        if (errand_) Lines::carrier(*errand_).reset();
         return std::exchange(errand_, nullptr);
     }
 
     // The hop whose connection is still being made, if there is one.
     std::shared_ptr<Errand> unsent() const {
-        return errand_ && !errand_->light && reached() != Reached::some_written ? errand_ : nullptr;
+        return errand_ && !errand_->light() && reached() != Reached::may_have_run ? errand_ : nullptr;
     }
 
+    bool bears_hop() const { return errand_ && !errand_->light(); }
+
     void rest() { idle_.set(world_.now() + lines_.rules_.idle_for); }
 
 private:
     void take(std::shared_ptr<Errand> errand) {
         errand_ = std::move(errand);
-        errand_->line_ = shared_from_this();
-        errand_->state_ = Errand::State::out;
+        Lines::carrier(*errand_) = shared_from_this();
+        Lines::set_state(*errand_, Errand::State::out);
     }
 
     bool put() {
         sent_before_ = outbox_->sent();
-        outbox_->send(errand_->head, errand_->body);
+        outbox_->send(lines_.head_of(*errand_), errand_->ward ? errand_->ward->body : nullptr);
         return !outbox_->broken() || outbox_->sent() > sent_before_;
     }
 
@@ -138,8 +147,8 @@
                     co_return false;
                 }
                 streaming = true;
-                errand_->state_ = Errand::State::streaming;
-                world_.drop(errand_->limit_);
+                Lines::set_state(*errand_, Errand::State::streaming);
+                lines_.unlimit(*errand_);
             }
             if (streaming && !parser.get().body().empty()) {
                 errand_->part(std::exchange(parser.get().body(), {}));
@@ -156,9 +165,9 @@
 
     template <class Parser>
     bool is_large(Parser& parser) const {
-        if (!parser.is_header_done() || parser.is_done() || errand_->light) return false;
+        if (!parser.is_header_done() || parser.is_done() || errand_->light()) return false;
         const auto& message = parser.get();
-        if (ending_of(message.result_int(), http::field(message, protocol::field::never_ran)) != Ending::honoured)
+        if (protocol::ending_of(message.result_int(), http::field(message, protocol::field::never_ran)) != Ending::honoured)
             return false;
         const auto length = parser.content_length();
         return message.body().size() > lines_.rules_.answer_held || (length && *length > lines_.rules_.answer_held);
@@ -169,7 +178,7 @@
         Outcome outcome;
         const auto own = protocol::read_own(parser.get(), &outcome.passed);
         outcome.status = parser.get().result_int();
-        outcome.ending = ending_of(outcome.status, own.never_ran);
+        outcome.ending = protocol::ending_of(outcome.status, own.never_ran);
         outcome.note = protocol::note_of(own.note);
         outcome.company = std::clamp(http::number<int>(own.company).value_or(0), 0, 1000);
         outcome.copies = std::clamp(http::number<int>(own.copies).value_or(0), 0, 1000);
@@ -188,18 +197,46 @@
     net::Limit idle_;  // how long it may lie unused
 };
 
-Lines::Lines(net::World& world, const LineRules& rules, net::Address address, LineCounts& counts)
-    : world_(world), rules_(rules), address_(std::move(address)), counts_(counts) {}
+Lines::Lines(net::World& world, const LineRules& rules, net::Address address, gateway::LineCounts& counts, std::string teller)
+    : gateway::Lines(world), rules_(rules), address_(std::move(address)), counts_(counts), teller_(std::move(teller)) {}
 
 Lines::~Lines() = default;
 
-void Lines::send(std::shared_ptr<Errand> errand) {
-    errand->limit_ = world_.at(errand->until, [this, weak = errand->weak_from_this()] {
-        if (const auto late = weak.lock()) stop(*late, Cause::time_ran_out);
-    });
-    if (dispatch(errand)) return;
-    if (queue_.size() >= rules_.queued) return end_soon(errand, Ending::never_sent);
-    queue_.push_back(std::move(errand));
+bool Lines::carry(const std::shared_ptr<Errand>& errand) {
+    if (dispatch(errand)) return true;
+    if (queue_.size() >= rules_.queued) return false;
+    queue_.push_back(errand);
+    return true;
+}
+
+// A hop's head differs from hop to hop in its first lines alone; the rest is written once for each job.
+std::string Lines::head_of(Errand& errand) const {
+    switch (errand.kind) {
+        case Errand::Kind::probe:
+            return fmt::format("GET /v1/load HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n\r\n", errand.invoker, field::controller, teller_);
+        case Errand::Kind::hold_copies:
+        case Errand::Kind::drop_copies: {
+            const std::string copies = errand.copies > 0 ? fmt::format("{}: {}\r\n", field::copies, errand.copies) : "";
+            return fmt::format("{} /v1/copies/{} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}Content-Length: 0\r\n\r\n",
+                               errand.copies > 0 ? "PUT" : "DELETE", http::encoded(errand.function), errand.invoker,
+                               field::controller, teller_, copies);
+        }
+        case Errand::Kind::hop:
+            break;
+    }
+    gateway::Ward& ward = *errand.ward;
+    if (ward.tail.empty()) {
+        http::HeadWriter tail("");
+        tail.add(field::controller, teller_).add(field::job, static_cast<std::int64_t>(ward.id));
+        tail.add(field::use_case, static_cast<const StatedUseCase*>(ward.use_case)->name);
+        if (!ward.mark.empty()) tail.add(field::mark, ward.mark);
+        tail.add(field::lanes, static_cast<std::int64_t>(ward.lanes));
+        if (ward.memory) tail.add(field::memory, static_cast<std::int64_t>(*ward.memory));
+        tail.lines(ward.passed).add("Content-Length", static_cast<std::int64_t>(ward.body->size()));
+        ward.tail = tail.done().substr(2);
+    }
+    return fmt::format("POST /v1/run/{} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}: {}\r\n{}", http::encoded(ward.function->name),
+                       errand.invoker, field::hop, errand.hop->number, field::limit, errand.hop->limit / 1ms, ward.tail);
 }
 
 // Puts the errand on an idle line or a new one; false where it has to wait for one.
@@ -209,7 +246,7 @@
         idle_.pop_back();
         if (line->carry(errand)) return true;
     }
-    if (lines_.size() >= rules_.most + (errand->light ? light_lines : 0)) {
+    if (lines_.size() >= rules_.most + (errand->light() ? light_lines : 0)) {
         if (errand->fresh_line && !idle_.empty()) {  // an idle line makes way for a new one
             idle_.front()->close();
             idle_.erase(idle_.begin());
@@ -226,7 +263,7 @@
     line->rest();
     while (!queue_.empty()) {
         const auto errand = queue_.front();
-        if (errand->state_ == Errand::State::ended) {
+        if (errand->state() == Errand::State::ended) {
             queue_.pop_front();
             continue;
         }
@@ -240,50 +277,27 @@
     std::erase(idle_, line);
     while (!queue_.empty()) {
         const auto errand = queue_.front();
-        if (errand->state_ != Errand::State::ended && !dispatch(errand)) break;
+        if (errand->state() != Errand::State::ended && !dispatch(errand)) break;
         queue_.pop_front();
     }
 }
 
-void Lines::end(const std::shared_ptr<Errand>& errand, Outcome outcome) {
-    if (!errand || errand->state_ == Errand::State::ended) return;
-    errand->state_ = Errand::State::ended;
-    world_.drop(errand->limit_);
-    errand->ended(std::move(outcome));
-}
-
-void Lines::end(const std::shared_ptr<Errand>& errand, Ending ending) {
-    Outcome outcome;
-    outcome.ending = ending;
-    end(errand, std::move(outcome));
-}
-
-void Lines::end_soon(std::shared_ptr<Errand> errand, Ending ending) {
-    world_.at(world_.now(), [this, errand = std::move(errand), ending] { end(errand, ending); });
-}
-
-// The errand is no longer wanted, or out of time. What is on a line takes the line with it.
-void Lines::stop(Errand& errand, Cause cause) {
-    if (errand.state_ == Errand::State::ended) return;
-    const auto self = errand.shared_from_this();
-    Reached reached = Reached::nothing_written;
-    if (const auto line = errand.line_) {
+// What is on a line takes the line with it.
+Reached Lines::take_off(Errand& errand, Cause) {
+    Reached reached = Reached::not_written;
+    if (const auto line = std::static_pointer_cast<Line>(carrier(errand))) {
         reached = line->reached();
         line->let_go();
         line->close();
     }
-    std::erase(queue_, self);
-    end_soon(self, protocol::ending_of(reached, cause));
-}
-
-void Lines::call_off(Errand& errand) {
-    stop(errand, Cause::called_off);
+    std::erase(queue_, errand.shared_from_this());
+    return reached;
 }
 
 void Lines::withdraw() {
     std::vector<std::shared_ptr<Errand>> unsent;
     for (const auto& errand : queue_)
-        if (!errand->light) unsent.push_back(errand);
+        if (!errand->light()) unsent.push_back(errand);
     for (const auto& line : lines_)
         if (const auto errand = line->unsent()) unsent.push_back(errand);
     for (const auto& errand : unsent) stop(*errand, Cause::withdrawn);
@@ -295,4 +309,12 @@
     for (const auto& line : std::exchange(idle_, {})) line->close();
 }
 
-}  // namespace plumkeel::gateway
+void Lines::close() {
+    for (const auto& line : std::exchange(idle_, {})) line->close();
+}
+
+std::size_t Lines::out() const {
+    return static_cast<std::size_t>(std::count_if(lines_.begin(), lines_.end(), [](const auto& line) { return line->bears_hop(); }));
+}
+
+}  // namespace plumkeel::web
--- a/src/gateway/protocol.hpp
+++ b/src/web/protocol.hpp
@@ -85,23 +85,4 @@
     return status >= 200 && status < 500 ? Ending::honoured : Ending::errored;
 }
 
-// How far an errand got when its connection ended, or its time, or the wish for it.
-enum class Reached { nothing_connected, nothing_written, some_written };
-enum class Cause { no_connection, line_broke, time_ran_out, called_off, withdrawn };
-
-// What that proves. Once a byte was handed over it may have run, whatever else is known.
-constexpr Ending ending_of(Reached reached, Cause cause) {
-    if (reached == Reached::nothing_connected && cause == Cause::no_connection) return Ending::unreachable;
-    if (reached != Reached::some_written) return Ending::never_sent;
-    switch (cause) {
-        case Cause::time_ran_out:
-            return Ending::overdue;
-        case Cause::called_off:
-        case Cause::withdrawn:
-            return Ending::called_off;
-        default:
-            return Ending::cut_off;
-    }
-}
-
 }  // namespace plumkeel::protocol
--- a/src/gateway/visit.cpp
+++ b/src/web/visit.cpp
@@ -1,8 +1,11 @@
-#include "gateway/visit.hpp"
+#include "web/visit.hpp"
 
 #include <fmt/format.h>
 
-namespace plumkeel::gateway {
+#include "web/protocol.hpp"
+#include "web/service.hpp"
+
+namespace plumkeel::web {
 
 using namespace std::chrono_literals;
 namespace bh = http::bh;
@@ -10,18 +13,19 @@
 
 constexpr Time lingering = 1s;
 
-Visit::Visit(Gateway& gateway, std::uint64_t number, std::shared_ptr<net::Stream> stream)
-    : gateway_(gateway),
+Visit::Visit(Service& service, std::uint64_t number, std::shared_ptr<net::Stream> stream)
+    : service_(service),
+      gateway_(service.gateway()),
       number_(number),
       stream_(std::move(stream)),
-      outbox_(std::make_shared<net::Outbox>(gateway.world_, stream_)),
+      outbox_(std::make_shared<net::Outbox>(service.world(), stream_)),
       inbox_(stream_, 128 * 1024),
-      answered_(gateway.world_),
-      limit_(gateway.world_, [this] { too_slow(); }),
-      reading_(gateway.world_, [this] { see_reading(); }) {}
+      answered_(service.world()),
+      limit_(service.world(), [this] { too_slow(); }),
+      reading_(service.world(), [this] { see_reading(); }) {}
 
 net::World& Visit::world() const {
-    return gateway_.world_;
+    return gateway_.world();
 }
 
 void Visit::start() {
@@ -43,14 +47,14 @@
     }
     outbox_->abandon();
     stream_->close();
-    gateway_.visit_gone(self);
+    service_.visit_gone(self);
 }
 
 // From a job's head to its answer. False: the connection is done with.
 net::Task<bool> Visit::one_job() {
     Parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(gateway_.door_.rules().head_bytes));
-    parser.body_limit(gateway_.door_.rules().body_bytes);
+    parser.header_limit(static_cast<std::uint32_t>(gateway_.door().rules().head_bytes));
+    parser.body_limit(gateway_.door().rules().body_bytes);
     bool nobody = false;
     Objection objection = co_await read_head(parser, nobody);
     if (nobody || leaving_) co_return false;
@@ -71,9 +75,9 @@
         if (measured)
             say_plain(200, "text/plain; version=0.0.4", gateway_.meters()->exposition());
         else if (path[1] == "status")
-            say_plain(200, "application/json", boost::json::serialize(gateway_.status()) + "\n");
+            say_plain(200, "application/json", boost::json::serialize(service_.status()) + "\n");
         else
-            say_plain(gateway_.door_.closing() ? 503 : 200, "text/plain", gateway_.door_.closing() ? "closing\n" : "ok\n");
+            say_plain(gateway_.door().closing() ? 503 : 200, "text/plain", gateway_.door().closing() ? "closing\n" : "ok\n");
         co_return !leaving_;
     }
     Wanted wanted;
@@ -82,12 +86,12 @@
     else
         wanted.function = path[2];
     if (objection == Objection::none) objection = understand(parser, wanted);
-    if (objection == Objection::none) objection = gateway_.door_.head_read(parser.content_length().value_or(0));
-    HeldBytes held(gateway_.door_);
+    if (objection == Objection::none) objection = gateway_.door().head_read(parser.content_length().value_or(0));
+    HeldBytes held(gateway_.door());
     if (objection == Objection::none) objection = co_await read_body(parser, nobody, held);
     if (nobody || leaving_) co_return false;
     if (objection == Objection::none) objection = held.grow_to(parser.get().body().size());
-    if (objection == Objection::none) objection = gateway_.door_.job_came();
+    if (objection == Objection::none) objection = gateway_.door().job_came();
     if (objection != Objection::none) {
         object(objection);
         co_return false;
@@ -99,7 +103,7 @@
 }
 
 net::Task<Objection> Visit::read_head(Parser& parser, bool& nobody) {
-    const auto& rules = gateway_.door_.rules();
+    const auto& rules = gateway_.door().rules();
     co_await outbox_->below(64 * 1024);  // who reads no answers gets no further jobs in
     bool begun = false;
     if (inbox_.held() == 0) bound(rules.idle_for, Objection::none);
@@ -148,18 +152,18 @@
             co_return error == bh::error::body_limit ? Objection::body_too_big : Objection::malformed;
         const Objection full = held.grow_to(parser.get().body().size());
         if (full != Objection::none) co_return full;
-        const auto slow = gateway_.door_.pace(since, world().now(), parser.get().body().size());
+        const auto slow = gateway_.door().pace(since, world().now(), parser.get().body().size());
         if (slow != Objection::none && !parser.is_done()) co_return slow;
     }
     co_return Objection::none;
 }
 
 Objection Visit::understand(const Parser& parser, Wanted& wanted) const {
-    const Door& door = gateway_.door_;
+    const Door& door = gateway_.door();
     const protocol::OwnFields own = protocol::read_own(parser.get(), &wanted.passed);
     if (door.name(wanted.function) != Objection::none) return Objection::bad_function;
-    const auto use = gateway_.charter_.use_cases.find(own.use_case);
-    if (use == gateway_.charter_.use_cases.end()) return Objection::no_such_use_case;
+    const auto use = gateway_.charter().use_cases.find(own.use_case);
+    if (use == gateway_.charter().use_cases.end()) return Objection::no_such_use_case;
     wanted.use_case = &use->second;
     wanted.tenant = own.tenant;
     wanted.mark = own.mark;
@@ -196,10 +200,17 @@
     co_return !leaving_;
 }
 
-void Visit::say(unsigned status, std::string_view outcome, const Ward& ward, std::string_view passed,
-                std::string body) {
+void Visit::honoured(const Ward& ward, unsigned status, std::string_view passed, std::string body) {
+    say(status, ward, passed, std::move(body));
+}
+
+void Visit::turned(const Ward& ward) {
+    say(ward.state == JobState::bounced ? 503 : 504, ward, "", "");
+}
+
+void Visit::say(unsigned status, const Ward& ward, std::string_view passed, std::string body) {
     http::HeadWriter head(http::status_line(status));
-    head.add(field::outcome, outcome).add(field::controller, gateway_.incarnation_)
+    head.add(field::outcome, protocol::outcome_word(ward.state)).add(field::controller, gateway_.incarnation())
         .add(field::job, static_cast<std::int64_t>(ward.id));
     head.add(field::hops, static_cast<std::int64_t>(ward.hops.size()));
     if (ward.state == JobState::bounced && ward.retry_after > Time{}) {
@@ -207,7 +218,7 @@
         head.add(field::retry_after_ms, ward.retry_after / 1ms);
     }
     head.lines(passed).add("Content-Length", static_cast<std::int64_t>(body.size()));
-    const bool last = !keep_ || gateway_.door_.closing();
+    const bool last = !keep_ || gateway_.door().closing();
     if (last) head.add("Connection", "close");
     outbox_->send(head.done(), std::make_shared<const std::string>(std::move(body)));
     ward_ = nullptr;
@@ -215,25 +226,25 @@
     if (last)
         bow_out();
     else
-        bound(gateway_.door_.rules().idle_for, Objection::none);
+        bound(gateway_.door().rules().idle_for, Objection::none);
     answered_.fire();
 }
 
-void Visit::begin(unsigned status, const Ward& ward, std::string_view passed) {
+void Visit::begin(const Ward& ward, unsigned status, std::string_view passed) {
     http::HeadWriter head(http::status_line(status));
-    head.add(field::outcome, "honoured").add(field::controller, gateway_.incarnation_)
+    head.add(field::outcome, "honoured").add(field::controller, gateway_.incarnation())
         .add(field::job, static_cast<std::int64_t>(ward.id));
     head.add(field::hops, static_cast<std::int64_t>(ward.hops.size())).lines(passed);
     if (chunked_)
         head.add("Transfer-Encoding", "chunked");
     else
         keep_ = false;  // an older client knows the end by the connection's
-    if (!keep_ || gateway_.door_.closing()) head.add("Connection", "close");
+    if (!keep_ || gateway_.door().closing()) head.add("Connection", "close");
     outbox_->send(head.done());
     watch_reading();
 }
 
-void Visit::part(std::string bytes) {
+void Visit::part(const Ward&, std::string bytes) {
     if (bytes.empty()) return;
     if (!chunked_) return outbox_->send(std::move(bytes));
     std::string size = fmt::format("{:x}\r\n", bytes.size());
@@ -242,31 +253,31 @@
     watch_reading();
 }
 
-void Visit::end(bool whole) {
+void Visit::end(const Ward&, bool whole) {
     ward_ = nullptr;
     if (!whole) {
         // The client must not take what it has for the whole answer.
         stream_->reset();
     } else {
         if (chunked_) outbox_->send("0\r\n\r\n");
-        if (!keep_ || gateway_.door_.closing())
+        if (!keep_ || gateway_.door().closing())
             bow_out();
         else
-            bound(gateway_.door_.rules().idle_for, Objection::none);
+            bound(gateway_.door().rules().idle_for, Objection::none);
     }
     answered_.fire();
 }
 
 net::Task<bool> Visit::room() {
     const auto self = shared_from_this();
-    co_await outbox_->below(gateway_.charter_.lines.stream_ahead);
+    co_await outbox_->below(gateway_.charter().lines.stream_ahead);
     co_return !outbox_->broken();
 }
 
 void Visit::say_plain(unsigned status, std::string_view type, std::string body) {
     http::HeadWriter head(http::status_line(status));
     head.add("Content-Type", type).add("Content-Length", static_cast<std::int64_t>(body.size()));
-    const bool last = !keep_ || gateway_.door_.closing();
+    const bool last = !keep_ || gateway_.door().closing();
     if (last) head.add("Connection", "close");
     outbox_->send(head.done(), std::make_shared<const std::string>(std::move(body)));
     if (last) bow_out();
@@ -274,15 +285,15 @@
 
 // What the door objects to was never taken: it may be tried again wherever the objection lets it.
 void Visit::object(Objection objection) {
-    gateway_.door_.count(objection);
+    gateway_.door().count(objection);
     const Told& words = told(objection);
-    gateway_.log_.line(Log::Level::info, "turned_back_at_door", {{"objection", words.word}});
+    gateway_.log().line(Log::Level::info, "turned_back_at_door", {{"objection", words.word}});
     std::string body = std::string(words.text) + "\n";
     http::HeadWriter head(http::status_line(static_cast<unsigned>(words.status)));
     head.add(field::objection, words.word);
     if (words.come_back) {
         head.add(field::outcome, "bounced");
-        const Time pause = gateway_.door_.retry_after();
+        const Time pause = gateway_.door().retry_after();
         head.add("Retry-After", (pause + 1s - Time(1)) / 1s).add(field::retry_after_ms, pause / 1ms);
     }
     head.add("Content-Type", "text/plain").add("Content-Length", static_cast<std::int64_t>(body.size()));
@@ -295,12 +306,12 @@
 void Visit::watch_reading() {
     if (reading_.is_set() || outbox_->pending() == 0) return;
     sent_then_ = outbox_->sent();
-    reading_.set(world().now() + gateway_.door_.rules().unread_for);
+    reading_.set(world().now() + gateway_.door().rules().unread_for);
 }
 
 void Visit::see_reading() {
     if (outbox_->pending() == 0 || outbox_->sent() != sent_then_) return watch_reading();
-    gateway_.door_.count(Objection::unread_answer);
+    gateway_.door().count(Objection::unread_answer);
     stream_->reset();
     outbox_->abandon();
 }
@@ -333,4 +344,4 @@
     if (!ward_ && !leaving_ && inbox_.held() == 0) bow_out();
 }
 
-}  // namespace plumkeel::gateway
+}  // namespace plumkeel::web
--- a/src/gateway/visit.hpp
+++ b/src/web/visit.hpp
@@ -1,24 +1,29 @@
-// One client's connection: reads jobs one after another, hands them to the gateway and sends their answers.
+// One client's connection over HTTP: reads jobs one after another, hands them to the gateway and sends their
+// answers.
 #pragma once
 
 #include "gateway/gateway.hpp"
+#include "http/http.hpp"
 #include "net/limit.hpp"
 
-namespace plumkeel::gateway {
+namespace plumkeel::web {
 
-class Visit : public std::enable_shared_from_this<Visit> {
+using gateway::Wanted;
+using gateway::Ward;
+
+class Service;
+
+class Visit : public gateway::Visit, public std::enable_shared_from_this<Visit> {
 public:
-    Visit(Gateway& gateway, std::uint64_t number, std::shared_ptr<net::Stream> stream);
+    Visit(Service& service, std::uint64_t number, std::shared_ptr<net::Stream> stream);
     void start();
 
-    // The job's final answer, whole.
-    void say(unsigned status, std::string_view outcome, const Ward& ward, std::string_view passed,
-             std::string body);
-    // An answer that streams: its head, its parts, its end; cut where the rest can't come.
-    void begin(unsigned status, const Ward& ward, std::string_view passed);
-    void part(std::string bytes);
-    void end(bool whole);
-    net::Task<bool> room();
+    void honoured(const Ward& ward, unsigned status, std::string_view passed, std::string body) override;
+    void turned(const Ward& ward) override;
+    void begin(const Ward& ward, unsigned status, std::string_view passed) override;
+    void part(const Ward& ward, std::string bytes) override;
+    void end(const Ward& ward, bool whole) override;
+    net::Task<bool> room() override;
     // No job is open here: it goes now, as the controller takes no more.
     void go_if_idle();
     std::uint64_t number() const { return number_; }
@@ -33,6 +38,7 @@
     net::Task<Objection> read_body(Parser& parser, bool& nobody, HeldBytes& held);
     net::Task<bool> await_answer();
     Objection understand(const Parser& parser, Wanted& wanted) const;
+    void say(unsigned status, const Ward& ward, std::string_view passed, std::string body);
     void say_plain(unsigned status, std::string_view type, std::string body);
     void object(Objection objection);
     void watch_reading();
@@ -43,7 +49,8 @@
     void bow_out();
     net::World& world() const;
 
-    Gateway& gateway_;
+    Service& service_;
+    gateway::Gateway& gateway_;
     const std::uint64_t number_;
     std::shared_ptr<net::Stream> stream_;
     std::shared_ptr<net::Outbox> outbox_;
@@ -56,4 +63,4 @@
     bool keep_{}, leaving_{}, chunked_{};
 };
 
-}  // namespace plumkeel::gateway
+}  // namespace plumkeel::web
--- a/stand/invoker.cpp
+++ b/stand/invoker.cpp
@@ -10,7 +10,7 @@
 #include <sstream>
 
 #include "charter/reader.hpp"
-#include "gateway/protocol.hpp"
+#include "web/protocol.hpp"
 #include "http/exchange.hpp"
 #include "orca/orca.hpp"
 #include "stand/common.hpp"
--- a/tests/descriptors_test.cpp
+++ b/tests/descriptors_test.cpp
@@ -9,7 +9,7 @@
 
 #include <thread>
 
-#include "gateway/gateway.hpp"
+#include "web/service.hpp"
 #include "net/real.hpp"
 
 namespace plumkeel {
@@ -29,7 +29,7 @@
     charter.use_cases["p"].name = "p";
     charter.use_cases["p"].promised = 1s;
     Log log(world, charter.log);
-    gateway::Gateway gateway(world, charter, log, 1);
+    web::Service gateway(world, charter, log, 1);
     if (gateway.open()) _exit(1);
     const std::uint16_t port = gateway.address().port;
     if (::write(tell, &port, sizeof port) != sizeof port) _exit(1);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -3,7 +3,8 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
-#include "gateway/gateway.hpp"
+#include "http/http.hpp"
+#include "web/service.hpp"
 #include "net/memory.hpp"
 
 namespace plumkeel::gateway {
@@ -190,7 +191,7 @@
     }
     void open() {
         log = std::make_unique<Log>(world, charter.log);
-        gateway = std::make_unique<Gateway>(world, charter, *log, 7, [this](const trace::Record& r) { trace.push_back(r); });
+        gateway = std::make_unique<web::Service>(world, charter, *log, 7, [this](const trace::Record& r) { trace.push_back(r); });
         ASSERT_FALSE(gateway->open());
     }
     static std::string job(const std::string& use_case, const std::string& more = "Connection: close\r\n",
@@ -230,7 +231,7 @@
     net::MemoryWorld world;
     Charter charter;
     std::unique_ptr<Log> log;
-    std::unique_ptr<Gateway> gateway;
+    std::unique_ptr<web::Service> gateway;
     std::vector<std::unique_ptr<Peer>> peers;
     std::vector<std::unique_ptr<Client>> clients;
 };
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -7,11 +7,12 @@
 #include "charter/charter.hpp"
 #include "door/door.hpp"
 #include "fleet/follower.hpp"
-#include "gateway/protocol.hpp"
+#include "gateway/proof.hpp"
 #include "log/log.hpp"
 #include "net/memory.hpp"
 #include "net/outbox.hpp"
 #include "orca/orca.hpp"
+#include "web/protocol.hpp"
 
 namespace plumkeel {
 namespace {
@@ -250,14 +251,15 @@
 
 TEST(Proof, OnlyTheInvokersWordOrAnUnwrittenByteProvesThatItNeverRan) {
     using namespace protocol;
+    using namespace proof;
     EXPECT_EQ(ending_of(503, "turned-away"), Ending::turned_away);
     EXPECT_EQ(ending_of(503, "not-loaded"), Ending::not_loaded);
     EXPECT_EQ(ending_of(503, ""), Ending::errored);
     EXPECT_EQ(ending_of(503, "surely"), Ending::errored);
     EXPECT_EQ(ending_of(200, ""), Ending::honoured);
     for (const Cause cause : {Cause::line_broke, Cause::time_ran_out, Cause::called_off, Cause::withdrawn}) {
-        EXPECT_EQ(ending_of(Reached::nothing_written, cause), Ending::never_sent);
-        const Ending some = ending_of(Reached::some_written, cause);
+        EXPECT_EQ(ending_of(Reached::not_written, cause), Ending::never_sent);
+        const Ending some = ending_of(Reached::may_have_run, cause);
         EXPECT_TRUE(some == Ending::cut_off || some == Ending::overdue || some == Ending::called_off);
     }
     EXPECT_EQ(ending_of(Reached::nothing_connected, Cause::no_connection), Ending::unreachable);
