--- a/src/fastcgi/records.cpp
+++ b/src/fastcgi/records.cpp
@@ -127,7 +127,8 @@
             if (!found->second.params_whole) return refuse(number_, Wrong::params, found->second.message.keep, told);
             {
                 Message message = std::move(found->second.message);
-                forget(number_);
+                held_ -= message.params.size() + message.body.size();
+                coming_.erase(found);
                 told.whole(std::move(message));
             }
             return;
