--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -100,6 +100,9 @@
     CLI::App* platform_command = app.add_subcommand("platform", "run a controller on the platform until SIGTERM");
     std::string config;
     platform_command->add_option("--config", config, "the platform's configuration, JSON")->envname("EDGE_CONFIG")->required();
+    std::string log_level = "info";
+    platform_command->add_option("--log", log_level, "least level of its log")
+        ->check(CLI::IsMember({"debug", "info", "warn", "error"}))->envname("PLUMKEEL_LOG");
 
     CLI::App* status_command = app.add_subcommand("status", "ask a running controller how it is");
     CLI::App* send_command = app.add_subcommand("send", "send one job and print its answer");
@@ -121,7 +124,7 @@
 
     try {
         if (*serve_command) return serve(read_charter(file, variables(vars)), seed);
-        if (*platform_command) return platform::serve(config);
+        if (*platform_command) return platform::serve(config, log_level);
         if (*check_command) {
             read_charter(file, variables(vars));
             std::cout << file << ": good\n";
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cassert>
 
+#include "trace/words.hpp"
+
 namespace plumkeel::gateway {
 
 using namespace std::chrono_literals;
@@ -213,7 +215,9 @@
     if (log_.wants(Log::Level::debug))
         log_.line(Log::Level::debug, "hop_ended",
                   {{"job", ward.id}, {"hop", errand.hop.number}, {"invoker", errand.hop.invoker->name},
-                   {"ending", static_cast<int>(outcome.ending)}, {"late", late}});
+                   {"ending", trace::word_of(outcome.ending)}, {"late", late}, {"note", trace::word_of(outcome.note)},
+                   {"company", outcome.company}, {"warm", errand.hop.expected_warm}, {"function", ward.function->name},
+                   {"crowd", errand.hop.crowd}, {"took_ms", static_cast<double>((world_.now() - errand.hop.sent).count()) / 1000}});
     const std::uint64_t id = ward.id;
     // The client's answer leaves before what the end of the hop sets going.
     feed([&](trace::Watched& it, Time now) {
@@ -352,7 +356,8 @@
     const bool bounced = ward.state == JobState::bounced;
     log_.line(Log::Level::info, bounced ? "job_bounced" : "job_written_off",
               {{"job", ward.id}, {"function", ward.function->name}, {"use_case", static_cast<const StatedUseCase*>(ward.use_case)->name},
-               {"hops", ward.hops.size()}, {"after_ms", (world_.now() - ward.taken) / 1ms}});
+               {"hops", ward.hops.size()}, {"why", trace::words_of(ward.why)}, {"again", ward.again},
+               {"after_ms", (world_.now() - ward.taken) / 1ms}});
     if (const auto visit = std::exchange(ward.visit, nullptr))
         visit->turned(ward);
     count(ward);
@@ -382,7 +387,8 @@
     }
     if (log_.wants(Log::Level::debug))
         log_.line(Log::Level::debug, "job_ended",
-                  {{"job", ward.id}, {"state", static_cast<int>(ward.state)}, {"hops", ward.hops.size()}});
+                  {{"job", ward.id}, {"state", trace::word_of(ward.state)}, {"hops", ward.hops.size()}, {"why", trace::words_of(ward.why)},
+                   {"after_ms", (world_.now() - ward.taken) / 1ms}});
     see_whether_done();
 }
 
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -13,8 +13,13 @@
 
 namespace plumkeel::platform {
 
-int serve(const std::string& file) {
-    const Config config = read_config(file);
+int serve(const std::string& file, const std::string& log_level) {
+    Config config = read_config(file);
+    config.charter.log.level = log_level;
+    if (log_level == "debug") {
+        config.charter.log.lines_per_s = config.charter.log.burst = 1e6;
+        config.charter.log.queued = 8192;
+    }
     net::RealWorld world;
     Log log(world, config.charter.log);
     Host host(world, config, log);
--- a/src/platform/platform.hpp
+++ b/src/platform/platform.hpp
@@ -6,6 +6,7 @@
 namespace plumkeel::platform {
 
 // Serves until SIGTERM; `file` is the configuration. Returns the exit status.
-int serve(const std::string& file);
+// With `log_level` debug every line is written, at whatever rate.
+int serve(const std::string& file, const std::string& log_level = "info");
 
 }  // namespace plumkeel::platform
