An invoker that answers with errors what others honour is left alone for a while

Change: an error counts against its invoker once another honoured the same job, with a fading share; a job does not go back to where it erred while another may be sent it.

--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -60,6 +60,7 @@
 constexpr Time own_stall = 100ms;  // a sweep later than that: the controller itself stood still
 constexpr Time blind_aside = 2s;   // where no probe may be sent
 constexpr double doubt_share = 0.34;
+constexpr double fault_gain = 0.12, fault_fade = 0.95, most_faulty = 0.35;  // of its answers; the fade at each sweep
 
 constexpr double cold_margin = 1.0;  // of the budget for a cold invoker, for what can't be seen
 constexpr Time forget_function = 60s;
@@ -384,6 +385,7 @@
             return tell(choice, Bar::no_room);
         choice.finish = estimate(function, invoker, belief_of(function, invoker), choice);
         if (!choice.warm) choice.finish += (bias - 1) * load_time(function);
+        if (erred_there(job, invoker)) choice.finish += in_seconds(job.use_case->promised);
         tell(choice, Bar::none);
         if (!best.invoker || choice.finish < best.finish - near)
             ties = 1;
@@ -395,6 +397,7 @@
     auto usable = [&](Invoker& invoker) {
         auto barred = [&](Bar bar) { return found < homes && tell({&invoker}, bar); };
         if (!may_send_to(invoker)) return barred(invoker.ready ? Bar::cold_budget : Bar::not_ready);
+        if (!doubting_ && invoker.faulty > most_faulty) return barred(Bar::doubted);
         if (doubting_ || invoker.standing == Standing::trusted) return true;
         if (invoker.standing != Standing::easing) return barred(Bar::doubted);
         return static_cast<int>(invoker.out.size()) < invoker.easy || barred(Bar::eased);
@@ -443,6 +446,11 @@
     return best;
 }
 
+bool Controller::erred_there(const Job& job, const Invoker& invoker) const {
+    return std::any_of(job.hops.begin(), job.hops.end(),
+                       [&](const Hop& h) { return h.invoker == &invoker && h.ending == Ending::errored; });
+}
+
 // The fleet in the order that all controllers share for this function.
 const std::vector<Invoker*>& Controller::shared_order(Function& function) {
     if (function.order_of == list_) return function.order;
@@ -573,6 +581,7 @@
 
     switch (ending) {
         case Ending::honoured:
+            blame(hop);
             learn(hop, note, company);
             break;
         case Ending::turned_away:
@@ -662,6 +671,16 @@
     return done();
 }
 
+// Exception "faulty": an invoker that answers most jobs at once with an error looks idle and draws more of them
+// (day "reload" on sockets). An error counts against it only once another has honoured the same job, so that
+// jobs nobody could run blame nobody. It could harm where a job's own fault comes and goes.
+void Controller::blame(const Hop& hop) {
+    auto count = [](Invoker& invoker, double bad) { invoker.faulty += fault_gain * (bad - invoker.faulty); };
+    count(*hop.invoker, 0);
+    for (const Hop& other : hop.job->hops)
+        if (other.invoker != hop.invoker && other.ending == Ending::errored) count(*other.invoker, 1);
+}
+
 // ---------------------------------------------------------------- learning
 
 // A run's time is taken as the function's time on an idle invoker, times the invoker's pace when idle or its
@@ -908,7 +927,9 @@
         outs += static_cast<double>(invoker->out.size());
         seen_units += invoker->units;
         const Standing standing = invoker->standing;
-        if (standing == Standing::trusted || standing == Standing::easing) ++good;
+        const bool bears = standing == Standing::trusted || standing == Standing::easing;
+        if (bears && invoker->faulty <= most_faulty) ++good;
+        invoker->faulty *= fault_fade;
         if (standing == Standing::trusted && !invoker->cold_since) units += invoker->units;
         if (standing == Standing::aside) {
             if (now_ - invoker->aside_since > copies_gone && !invoker->down) {
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -53,6 +53,7 @@
     void load_over(Function& function);
     Choice choose(Job& job);
     const std::vector<Invoker*>& shared_order(Function& function);
+    bool erred_there(const Job& job, const Invoker& invoker) const;
     double estimate(const Function& function, const Invoker& invoker, const Belief* belief,
                     Choice& choice) const;
 
@@ -62,6 +63,7 @@
     void begin_cold(Invoker& invoker, Time since);
     bool may_order();
 
+    void blame(const Hop& hop);
     void learn(const Hop& hop, Note note, int company);
     double ratio_at(const Hop& hop) const;
     void learn_ratio(const Hop& hop, double took);
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -208,6 +208,7 @@
     bool down{};         // it was seen to be gone: its next answer comes from a new start
     Standing standing{};
     int missed{}, cuts{}, answered{}, easy{};
+    double faulty{};  // fading part of its answers that were errors for jobs which others then honoured
     bool probing{};
     Time probed{}, heard{}, used{}, aside_since{};
     std::vector<Hop*> out;
