A connection reset as it comes up is no proof that its invoker is gone

Cause: runline/lines.cpp and web/lines.cpp told every connect that did not come about as 'unreachable', also ECONNRESET of one that had come up; the module then forgets all copies there and holds it for started anew. Ruled out: the list (no such event), refusals (no process was down). Change: only a refusal or silence says so, all else never left. Also: invokers long off the list are let go by the module and the gateway, the first guess of press follows the units the list names, codec and platform tests.

--- a/src/board/frames.cpp
+++ b/src/board/frames.cpp
@@ -36,19 +36,16 @@
 
 bool Frames::next(std::string_view& bytes, Event& event) {
     while (!bytes.empty() && broken_ == Broken::none) {
-        std::size_t wanted = length_bytes;
-        if (frame_.size() >= length_bytes) {
-            const std::size_t length = big(frame_, 0, length_bytes);
-            if (length < fixed_bytes || length > fixed_bytes + most_records * record_bytes) {
-                broken_ = Broken::length;
-                return false;
-            }
-            wanted += length;
-        }
+        const std::size_t wanted = length_bytes + (frame_.size() < length_bytes ? 0 : big(frame_, 0, length_bytes));
         const std::string_view part = bytes.substr(0, wanted - frame_.size());
         frame_ += part;
         bytes.remove_prefix(part.size());
-        if (frame_.size() < wanted || wanted == length_bytes) continue;
+        if (frame_.size() < wanted) return false;
+        if (wanted == length_bytes) {
+            const std::size_t length = big(frame_, 0, length_bytes);
+            if (length < fixed_bytes || length > fixed_bytes + most_records * record_bytes) broken_ = Broken::length;
+            continue;
+        }
         const bool read_it = read(event);
         frame_.clear();
         return read_it;
--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -63,7 +63,7 @@
 constexpr double fault_gain = 0.12, fault_fade = 0.95, most_faulty = 0.35;  // of its answers; the fade at each sweep
 
 constexpr double cold_margin = 1.0;  // of the budget for a cold invoker, for what can't be seen
-constexpr Time forget_function = 60s;
+constexpr Time forget_function = 60s, release_invoker = 5s;
 constexpr Time idle_spare = 700ms;  // for each controller: the others, unseen here, use the copy too
 
 constexpr double in_seconds(Time t) {
@@ -738,7 +738,7 @@
     };
     const double by = std::max(kind_gain, 1.0 / (few_arrivals + (few ? ++kind.paced : ++kind.pressed)));
     if (hop.ending == Ending::honoured)
-        nudge(few ? kind.pace : kind.press, by, few ? 0.3 : 0.01, few ? 5.0 : 2.0);
+        nudge(few ? kind.pace : kind.press, by, few ? 0.3 : 0.002, few ? 5.0 : 2.0);
     nudge(few ? invoker.pace : invoker.press, few ? 0.03 : 0.05, 0.2, 5.0);
 }
 
@@ -790,8 +790,8 @@
     if (complete)
         for (Invoker* invoker : fleet_)
             if (std::find(changed.begin(), changed.end(), invoker) == changed.end()) {
-                invoker->ready = invoker->listed = false;
-                forget(*invoker);
+                invoker->ready = false;
+                leave_list(*invoker);
             }
     for (Invoker* invoker : changed) {
         const bool back = invoker->known && invoker->started && invoker->started != invoker->cold_from;
@@ -799,21 +799,30 @@
             invoker->known = true;
             invoker->print = print_of(invoker->name);
             invoker->pace = invoker->press = 1;
-            if (invoker->kind->pace == 0) *invoker->kind = {1, assumed_press, 0, 0};
+            // Its units, where they hold still, are taken to be cores: one job of as many presses little.
+            const double part = may_.steady_units ? 1 / std::max(1.0, invoker->units) : 1;
+            if (invoker->kind->pace == 0) *invoker->kind = {1, std::min(assumed_press, part), 0, 0};
             fleet_.push_back(invoker);
         }
         if (back) forget(*invoker);
         invoker->cold_from = invoker->started;
         invoker->listed = true;
-        if (invoker->started && now - *invoker->started < rules_.cold_for) {
+        // One seen to have started again later than the list says stays as cold as it was seen to be.
+        const bool young = invoker->started && now - *invoker->started < rules_.cold_for;
+        if (young && (!invoker->cold_since || *invoker->cold_since < *invoker->started))
             begin_cold(*invoker, *invoker->started);
-        }
     }
     ++list_;
     for (Function* function : std::vector<Function*>(functions_)) release(*function);
     return done();
 }
 
+void Controller::leave_list(Invoker& invoker) {
+    if (invoker.listed) invoker.left_list = now_;
+    invoker.listed = false;
+    forget(invoker);
+}
+
 Results Controller::list_broke(Time now) {
     enter(now);
     results_.follow_list = may_.ask_for_list;
@@ -967,6 +976,7 @@
 
     if (may_.order_copies && may_.memory_price > 0)
         for (Function* function : functions_) unload_spare(*function);
+    release_gone();
 
     std::erase_if(functions_, [&](Function* function) {
         std::erase_if(function->beliefs, [&](const Belief& b) { return b.out == 0 && b.until <= now_; });
@@ -977,6 +987,32 @@
     });
 }
 
+// Lets go of invokers that are off the list for good, once no belief, load, probe or unclosed job points to them:
+// else a fleet that is replaced all day fills the memory.
+void Controller::release_gone() {
+    std::erase_if(fleet_, [&](Invoker* invoker) {
+        const bool old = !invoker->listed && now_ - invoker->left_list > release_invoker;
+        if (!old || !invoker->out.empty() || invoker->probing) return false;
+        for (const Function* function : functions_) {
+            if (function->loading == invoker) return false;
+            for (const Job* job : function->parked)
+                if (points_to(*job, *invoker)) return false;
+        }
+        for (const Invoker* each : fleet_)
+            for (const Hop* hop : each->out)
+                if (points_to(*hop->job, *invoker)) return false;
+        for (Function* function : functions_)
+            std::erase_if(function->beliefs, [&](const Belief& b) { return b.invoker == invoker; });
+        invoker->known = false;
+        results_.released.push_back(invoker);
+        return true;
+    });
+}
+
+bool Controller::points_to(const Job& job, const Invoker& invoker) const {
+    return std::any_of(job.hops.begin(), job.hops.end(), [&](const Hop& h) { return h.invoker == &invoker; });
+}
+
 // Where idle memory has a price: a function that stands at several invokers gives up those where it idles,
 // but for the first in the shared order, which other controllers keep to as well.
 void Controller::unload_spare(Function& function) {
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -74,8 +74,11 @@
     void answered_well(Invoker& invoker);
     void turned_away(Invoker& invoker);
     void rescue(Invoker& invoker);
+    void leave_list(Invoker& invoker);
     void forget(Invoker& invoker);
     void sweep();
+    void release_gone();
+    bool points_to(const Job& job, const Invoker& invoker) const;
     void unload_spare(Function& function);
     double rank(const Function& function, const Invoker& invoker) const;
     void set_due(Ticket& slot, Time at, Due what);
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -201,6 +201,7 @@
     std::optional<Time> started;  // absent: long ago
 
     bool known{}, listed{};
+    Time left_list{};
     std::uint64_t print{};
     std::optional<Time> cold_since, cold_from;
     std::deque<Time> cold_hops;
@@ -257,6 +258,7 @@
     std::vector<Invoker*> probed;
     std::vector<CopyOrder> ordered;
     std::vector<Function*> forgotten;  // the host may free these
+    std::vector<Invoker*> released;    // and these: long off the list, and nothing points to them any more
     bool follow_list{};
     Time next_wake{};
     std::vector<Turned> turned;  // only as far as the host asks: there is nothing to carry out
--- a/src/gateway/edges.cpp
+++ b/src/gateway/edges.cpp
@@ -26,6 +26,14 @@
     world_.at(world_.now(), [this, errand = std::move(errand), ending] { end(errand, ending); });
 }
 
+proof::Cause Lines::cause_of(const net::Error& error) {
+    namespace asio = net::asio;
+    for (const net::Error& nobody : {net::Error(asio::error::connection_refused), net::Error(asio::error::timed_out),
+                                     net::Error(asio::error::host_unreachable), net::Error(asio::error::network_unreachable)})
+        if (error == nobody) return proof::Cause::no_connection;
+    return proof::Cause::line_broke;
+}
+
 // The errand is no longer wanted, or out of time.
 void Lines::stop(Errand& errand, proof::Cause cause) {
     if (errand.state_ == Errand::State::ended) return;
--- a/src/gateway/edges.hpp
+++ b/src/gateway/edges.hpp
@@ -112,6 +112,9 @@
     virtual proof::Reached take_off(Errand& errand, proof::Cause cause) = 0;
 
     void stop(Errand& errand, proof::Cause cause);
+    // Why a connection did not come about. Only a refusal and silence say that nobody is there: one reset at once
+    // did come up, and where descriptors or ports are short here, nobody was asked.
+    static proof::Cause cause_of(const net::Error& error);
     void end(const std::shared_ptr<Errand>& errand, Outcome outcome);
     void end(const std::shared_ptr<Errand>& errand, Ending ending);
     void end_soon(std::shared_ptr<Errand> errand, Ending ending);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -277,14 +277,12 @@
     withdraw();
 }
 
+// The module is told of the whole list without them.
 void Gateway::fleet_gone(const std::vector<std::string>& names) {
-    std::vector<Invoker*> invokers;
-    for (const std::string& name : names)
-        if (const auto found = posts_.find(name); found != posts_.end()) {
-            found->second->ready = false;
-            invokers.push_back(found->second.get());
-        }
-    feed([&](trace::Watched& it, Time now) { return it.fleet_changed(now, invokers, false); });
+    std::vector<Invoker*> rest;
+    for (const auto& [name, post] : posts_)
+        if (post->listed && std::find(names.begin(), names.end(), name) == names.end()) rest.push_back(post.get());
+    feed([&](trace::Watched& it, Time now) { return it.fleet_changed(now, rest, true); });
     withdraw();
 }
 
@@ -310,6 +308,7 @@
     for (const CopyOrder& order : results.ordered) send_order(order);
     for (Job* job : results.answered) drop_if_closed(static_cast<Ward&>(*job));
     for (const Function* function : results.forgotten) functions_.erase(std::string(function->name));
+    for (Invoker* invoker : results.released) let_go(static_cast<Post&>(*invoker));
     if (results.next_wake < wake_at_) {
         world_.drop(wake_);
         wake_at_ = results.next_wake;
@@ -321,6 +320,22 @@
     }
 }
 
+// Its connections close by themselves, and what waits for its turn there must find it: it goes a little later.
+void Gateway::let_go(Post& post) {
+    const auto found = posts_.find(post.name);
+    const std::shared_ptr<Post> it = std::move(found->second);
+    posts_.erase(found);
+    it->lines->close();
+    see_off(it);
+}
+
+void Gateway::see_off(std::shared_ptr<Post> post) {
+    const std::size_t open = post->lines->open() + post->lines->waiting();
+    world_.at(world_.now() + 1s, [this, open, it = std::move(post)] {
+        if (open > 0) see_off(it);
+    });
+}
+
 void Gateway::dispatch(std::shared_ptr<Errand> errand, Post& post, Time within) {
     errand->invoker = post.name;
     errand->until = world_.now() + within;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -104,6 +104,8 @@
     std::optional<Time> list_told() const { return list_told_ ? list_told_() : std::nullopt; }
 
     void withdraw();
+    void let_go(Post& post);
+    void see_off(std::shared_ptr<Post> post);
     void carry_out(const Results& results);
     void send_hop(Hop& hop);
     void send_probe(Post& post);
--- a/src/runline/lines.cpp
+++ b/src/runline/lines.cpp
@@ -109,9 +109,11 @@
     }
 
     net::Task<> live(std::shared_ptr<Wire> self, net::Address address) {
+        Cause why = Cause::line_broke;
         auto connected = co_await world_.connect(address, lines_.rules_.connect_within);
         if (connected.error) {
-            ++lines_.counts_.unreachable;
+            why = Lines::cause_of(connected.error);
+            if (why == Cause::no_connection) ++lines_.counts_.unreachable;
             alive_ = false;
         } else {
             ++lines_.counts_.opened;
@@ -129,7 +131,7 @@
         for (const Placed& placed : ends) {
             Lines::carrier(*placed.errand).reset();
             const Reached reached = !outbox_ ? Reached::nothing_connected : sent >= placed.whole_at ? Reached::may_have_run : Reached::not_written;
-            lines_.end(placed.errand, proof::ending_of(reached, outbox_ ? Cause::line_broke : Cause::no_connection));
+            lines_.end(placed.errand, proof::ending_of(reached, why));
         }
     }
 
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -217,6 +217,7 @@
         }
         for (const Job* job : results.answered) drop_if_closed(job->id);
         for (const Function* function : results.forgotten) functions_.erase(std::string(function->name));
+        for (const Invoker* invoker : results.released) invokers_.erase(std::string(invoker->name));
         if (results.next_wake < armed_) {
             armed_ = results.next_wake;
             json& a = act("AFTER");
--- a/src/trace/calls.cpp
+++ b/src/trace/calls.cpp
@@ -80,8 +80,8 @@
 }
 
 std::uint64_t Watched::number_of(const Invoker& invoker, Time now) {
-    const auto [it, fresh] = invokers_.try_emplace(&invoker, invokers_.size());
-    if (fresh) record(now, Told::invoker_known, 0, Known{it->second, invoker.name});
+    const auto [it, fresh] = invokers_.try_emplace(&invoker, invokers_known_);
+    if (fresh) record(now, Told::invoker_known, 0, Known{invokers_known_++, invoker.name});
     return it->second;
 }
 
@@ -100,6 +100,7 @@
         record(now, Told::function_forgotten, 0, Forgotten{known->second});
         functions_.erase(known);
     }
+    for (const Invoker* each : results.released) invokers_.erase(each);
     return results;
 }
 
--- a/src/trace/calls.hpp
+++ b/src/trace/calls.hpp
@@ -48,7 +48,7 @@
     std::unordered_map<const Function*, std::uint64_t> functions_;
     std::unordered_map<const Invoker*, std::uint64_t> invokers_;
     std::unordered_map<const Kind*, std::uint64_t> kinds_;  // told apart by their objects alone
-    std::uint64_t functions_known_{};
+    std::uint64_t functions_known_{}, invokers_known_{};
     // Used again for each record, so that recording allocates nothing.
     Record record_;
     Answer answer_;
--- a/src/web/lines.cpp
+++ b/src/web/lines.cpp
@@ -91,9 +91,10 @@
     net::Task<> live(std::shared_ptr<Line> self, net::Address address) {
         auto connected = co_await world_.connect(address, lines_.rules_.connect_within);
         if (connected.error) {
-            ++lines_.counts_.unreachable;
+            const Cause why = Lines::cause_of(connected.error);
+            if (why == Cause::no_connection) ++lines_.counts_.unreachable;
             alive_ = false;
-            if (const auto errand = let_go()) lines_.end(errand, ending_of(Reached::nothing_connected, Cause::no_connection));
+            if (const auto errand = let_go()) lines_.end(errand, ending_of(Reached::nothing_connected, why));
             lines_.line_gone(self);
             co_return;
         }
--- /dev/null
+++ b/tests/codec_fuzz.cpp
@@ -0,0 +1,137 @@
+// The platform's codecs, under sanitizers: split at every byte, and fed a fixed number of damaged streams.
+#include <cstdlib>
+#include <iostream>
+
+#include "board/frames.hpp"
+#include "chance/pcg.hpp"
+#include "fastcgi/records.hpp"
+#include "runline/words.hpp"
+#include "tests/platform_bytes.hpp"
+
+using namespace plumkeel;
+
+namespace {
+
+void check(bool good, const char* what) {
+    if (good) return;
+    std::cout << "codec_fuzz: " << what << std::endl;
+    std::exit(1);
+}
+
+// Writes down what was told, and answers nothing: what is whole counts as open.
+struct Notes : fastcgi::Told {
+    std::string text;
+    std::map<int, bool> open;
+    void begun(std::uint16_t n) override { text += fmt::format("begun {};", n); }
+    void whole(fastcgi::Message m) override {
+        text += fmt::format("whole {} {} {} {};", m.number, m.keep, m.params.size(), m.body);
+        open[m.number] = true;
+    }
+    void wrong(std::uint16_t n, fastcgi::Wrong why, bool keep) override { text += fmt::format("wrong {} {} {};", n, static_cast<int>(why), keep); }
+    void taken_back(std::uint16_t n) override {
+        text += fmt::format("back {};", n);
+        open.erase(n);
+    }
+    void asks_values(std::string_view names) override { text += fmt::format("values {};", names.size()); }
+    void unknown(std::uint8_t type) override { text += fmt::format("unknown {};", type); }
+    bool answering(std::uint16_t n) const override { return open.count(n) > 0; }
+};
+
+std::string records() {
+    using namespace bytes;
+    return message(1, job_fields(hex16(1), hex16(2)), "a body", 7, 5) + record(9, 0, params_of({{"FCGI_MPXS_CONNS", ""}})) +
+           record(99, 0, "odd") + message(2, job_fields(hex16(3), hex16(2)), std::string(300, 'x'), 65) + record(2, 1, "") +
+           record(1, 7, std::string_view("\0\3\1\0\0\0\0\0", 8)) + message(300, {{"LONG", std::string(200, 'v')}}, "", 50) +
+           message(2, {}, "twice") + record(1, 9, std::string_view("\0\1\0\0\0\0\0\0", 8)) + record(5, 9, "no params yet") +
+           record(1, 10, std::string_view("\0\1\0\0\0\0\0\0", 8)) + record(4, 10, std::string(9000, 'p'));
+}
+
+std::string feed_fastcgi(std::string_view a, std::string_view b) {
+    Notes notes;
+    fastcgi::Intake intake({});
+    if (intake.feed(a, notes)) intake.feed(b, notes);
+    check(intake.held() < 40 * 24 * 1024, "more is held of messages than their bounds");
+    return notes.text;
+}
+
+std::string lines() {
+    return "0000000000000001 data n=reused,peers_in=3 5\r\nhello\r\n"
+           "p1 well l=inflight:7;util:0.61 0\r\n\r\n"
+           "0000000000000002 absent n=init_error 0\r\n\r\n"
+           "0000000000000003 data - 13\r\na\r\nb well 0\r\n\r\n";
+}
+
+std::string feed_lines(std::string_view a, std::string_view b) {
+    runline::Reader reader(256, 4096);
+    runline::Answer answer;
+    std::string text;
+    for (std::string_view part : {a, b})
+        while (reader.next(part, answer)) text += fmt::format("{} {} {} {};", answer.id, answer.word, answer.fields, answer.body);
+    return text + runline::word_of(reader.broken());
+}
+
+std::string frames() {
+    using namespace bytes;
+    return frame(0, 0) + frame(1, 1, {{1, "10.0.0.1"}, {2, "10.0.0.2", 7001, 1}}) + frame(2, 2, {{3, "10.0.0.3", 7001, 2, 1700000000000}}) +
+           frame(2, 0);
+}
+
+std::string feed_frames(std::string_view a, std::string_view b) {
+    board::Frames reader({{"a"}, {"k"}});
+    board::Event event;
+    std::string text;
+    for (std::string_view part : {a, b})
+        while (reader.next(part, event)) {
+            text += fmt::format("{} {} {}", event.number, event.news, event.whole);
+            for (const auto& each : event.entries) text += fmt::format(" {}@{} {} {}", each.name, each.address, each.ready, each.units);
+            for (const auto& each : event.gone) text += " -" + each;
+            text += ';';
+        }
+    return text + board::word_of(reader.broken());
+}
+
+template <class Feed>
+void split_everywhere(const std::string& stream, Feed feed, const std::string& expected) {
+    const std::string whole = feed(stream, "");
+    check(whole.find(expected) != std::string::npos, whole.c_str());
+    for (std::size_t at = 0; at <= stream.size(); ++at)
+        check(feed(std::string_view(stream).substr(0, at), std::string_view(stream).substr(at)) == whole, "a split changes what is read");
+}
+
+template <class Feed>
+void damage(const std::string& stream, Feed feed, Pcg& chance) {
+    const auto below = [&](std::size_t n) { return static_cast<std::size_t>(chance.next() * static_cast<double>(n)); };
+    for (int i = 0; i < 20'000; ++i) {
+        std::string bad = stream;
+        for (std::size_t hits = 1 + below(6); hits > 0 && !bad.empty(); --hits) {
+            const std::size_t at = below(bad.size());
+            switch (below(4)) {
+                case 0:
+                    bad[at] = static_cast<char>(below(256));
+                    break;
+                case 1:
+                    bad.erase(at, 1 + below(40));
+                    break;
+                case 2:
+                    bad.insert(at, stream.substr(below(stream.size()), below(60)));
+                    break;
+                default:
+                    bad[at] = static_cast<char>(bad[at] ^ (1 << below(8)));
+            }
+        }
+        feed(bad, "");
+    }
+}
+
+}  // namespace
+
+int main() {
+    Pcg chance(20);
+    split_everywhere(records(), feed_fastcgi, "whole 1 true");
+    split_everywhere(lines(), feed_lines, "0000000000000003 data - a\r\nb well 0\r\n;none");
+    split_everywhere(frames(), feed_frames, "2 true false -s-00000003;2 false false;none");
+    damage(records(), feed_fastcgi, chance);
+    damage(lines(), feed_lines, chance);
+    damage(frames(), feed_frames, chance);
+    std::cout << "codec_fuzz: 60000 damaged streams read\n";
+}
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,610 @@
+// The platform's edges round the real gateway, in virtual time, against scripted clients, invokers and a notice
+// board: what each is owed is checked from the bytes that passed.
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <set>
+
+#include "net/memory.hpp"
+#include "platform/host.hpp"
+#include "settings/fields.hpp"
+#include "tests/platform_bytes.hpp"
+
+namespace plumkeel::platform {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace bytes;
+using net::Task;
+
+const char* const plain_config = R"({"name":"n1","listen":"10.1.0.1:7001","seed":"8c1f30d27a5be964","board":"10.9.0.1:2379",
+ "limits":{"cores":1.0,"memory_mb":48,"sockets":256},
+ "known":{"rev":1,"notices":[{"rev":1,"pool":{"rev":1,"all":true,"targets":[
+  {"uid":"s-00000001","endpoint":"10.0.0.1:7001","az":"a","model":"k","pod_group":0,"state":"up","capacity_hint":5,"boot_ms":0},
+  {"uid":"s-00000002","endpoint":"10.0.0.2:7001","az":"a","model":"k","pod_group":0,"state":"up","capacity_hint":5,"boot_ms":0}]}}]},
+ "settings":{"areas":["a"],"kinds":["k"],"fleet_size":1,"discovery":"automatic","weight_source":"nominal","quantum":1.0,
+  "classes":[{"name":"preview","aim":800.0,"deadline":3000.0,"semantics":"retryable","group":"all","repeat_window":5000.0}],
+  "realms":[{"name":"acme","quota_per_s":1000.0}],"report":{"fields":["active","waiting"],"how":"pull"},
+  "rules":{"cold":1000.0,"cold_share":0.5,"fall_multiple":2.0,"overload_for":2000.0,"stop_sending_within":2000.0},
+  "family_info":{"if_cold":"load","linger_idle":5000.0,"may_order":false,"says_company":true,"answer_within":4000.0},
+  "limits":{"may_cancel":true,"probes":true,"second_copies":true,"retry_after":true,"send_cap":5,"max_retry_after":2000.0,
+   "connect_timeout":250.0,"conn_idle":30000.0,"streams_per_conn":32}}})";
+
+std::string replaced(std::string text, const std::string& what, const std::string& by) {
+    const auto at = text.find(what);
+    EXPECT_NE(at, std::string::npos) << what;
+    return text.replace(at, what.size(), by);
+}
+
+std::string file_of(const std::string& text) {
+    const std::string name = testing::TempDir() + "/platform_config.json";
+    std::ofstream(name) << text;
+    return name;
+}
+
+enum class Does { answers, noise, endless, short_body, long_body, huge, cuts, resets, half, twice, ahead, silent, full, errs };
+
+// An invoker as a test scripts it: what it does with its nth hop; the last holds for all further ones.
+struct Peer {
+    net::MemoryWorld& world;
+    std::shared_ptr<net::Listener> listener;
+    std::vector<Does> script;
+    Time takes = 20ms;
+    bool hears_probes = true;
+    std::vector<std::pair<Time, std::string>> runs;  // when they had come whole, and their ids
+    std::vector<std::string> stops, odd;
+    int connections{}, open{};
+
+    Peer(net::MemoryWorld& w, const std::string& host, std::vector<Does> does)
+        : world(w), listener(w.listen({host, 7001}).listener), script(std::move(does)) {
+        world.spawn(accept());
+    }
+    static std::string body_for(const std::string& id) { return "made for " + id; }
+
+    Task<> accept() {
+        for (;;) {
+            auto accepted = co_await listener->accept();
+            if (accepted.error) co_return;
+            ++connections;
+            ++open;
+            world.spawn(talk(accepted.stream));
+        }
+    }
+    Task<> talk(std::shared_ptr<net::Stream> stream) {
+        std::string got;
+        std::vector<char> room(4096);
+        for (;;) {
+            const auto moved = co_await stream->read(net::asio::buffer(room));
+            if (moved.error) break;
+            got.append(room.data(), moved.bytes);
+            for (auto end = got.find("\r\n"); end != std::string::npos; end = got.find("\r\n")) {
+                const std::string line = got.substr(0, end);
+                std::string body;
+                if (line.starts_with("RUN ")) {
+                    const std::size_t length = std::stoul(line.substr(line.rfind(' ') + 1));
+                    if (got.size() < end + 2 + length + 2) break;
+                    got.erase(0, end + 2 + length + 2);
+                    const std::string id = line.substr(4, line.find(' ', 4) - 4);
+                    const Does does = script[std::min(runs.size(), script.size() - 1)];
+                    runs.emplace_back(world.now(), id);
+                    world.spawn(answer(stream, id, does));
+                    continue;
+                }
+                got.erase(0, end + 2);
+                const std::string rest = line.substr(std::min(line.size(), line.find(' ') + 1));
+                if (line.starts_with("STOP "))
+                    stops.push_back(rest);
+                else if (line.starts_with("INFO ") || line.starts_with("NOOP "))
+                    hears_probes ? put(stream, rest + " well l=active:1;waiting:0 0\r\n\r\n") : void();
+                else
+                    odd.push_back(line);
+            }
+        }
+        --open;
+    }
+    static void put(const std::shared_ptr<net::Stream>& stream, const std::string& text) {
+        const net::asio::const_buffer whole = net::asio::buffer(text);
+        stream->write_now({&whole, 1});
+    }
+    Task<> answer(std::shared_ptr<net::Stream> stream, std::string id, Does does) {
+        co_await world.sleep(takes);
+        const std::string body = body_for(id), head = id + " data n=reused " + std::to_string(body.size()) + "\r\n";
+        const std::string good = head + body + "\r\n";
+        switch (does) {
+            case Does::answers: put(stream, good); break;
+            case Does::noise: put(stream, "\x01\xff\x7f zzz\r\n" + good); break;
+            case Does::endless: put(stream, std::string(5000, 'e')); break;
+            case Does::short_body: put(stream, id + " data n=reused 4\r\n" + body + "\r\n"); break;
+            case Does::long_body: put(stream, id + " data n=reused 90\r\n" + body + "\r\n" + good); break;
+            case Does::huge: put(stream, id + " data n=reused 3000000000\r\n" + std::string(4000, 'h')); break;
+            case Does::cuts: put(stream, good.substr(0, good.size() - 4)); co_await world.sleep(1ms); stream->close(); break;
+            case Does::resets: stream->reset(); break;
+            case Does::half: put(stream, good.substr(0, good.size() / 2)); break;
+            case Does::twice: put(stream, good + good); break;
+            case Does::ahead: put(stream, "00000000000000ff data n=reused 3\r\nnot\r\n" + good); break;
+            case Does::silent: break;
+            case Does::full: put(stream, id + " full - 0\r\n\r\n"); break;
+            case Does::errs: put(stream, id + " failed - 0\r\n\r\n"); break;
+        }
+    }
+};
+
+// A web server's connection: sends texts at their times and reads all that comes.
+struct Client {
+    net::MemoryWorld& world;
+    std::string got;
+    Time connected{}, last{}, ended = Time::max();
+    std::shared_ptr<net::Stream> stream;
+
+    Client(net::MemoryWorld& w, Time when, std::vector<std::pair<Time, std::string>> texts, bool reads = true) : world(w) {
+        world.spawn(run(when, std::move(texts), reads));
+    }
+    Task<> run(Time when, std::vector<std::pair<Time, std::string>> texts, bool reads) {
+        co_await world.sleep(when - world.now());
+        const net::Address front{"10.1.0.1", 7001};
+        auto result = co_await world.connect(front, 1s);
+        if (result.error) {
+            ended = world.now();
+            co_return;
+        }
+        stream = result.stream;
+        connected = world.now();
+        const auto outbox = std::make_shared<net::Outbox>(world, stream);
+        for (auto& [after, text] : texts)
+            world.at(connected + after, [outbox, text] { outbox->send(text); });
+        std::vector<char> room(4096);
+        while (reads) {
+            const auto moved = co_await stream->read(net::asio::buffer(room));
+            if (moved.error) break;
+            last = world.now();
+            got.append(room.data(), moved.bytes);
+        }
+        if (reads) ended = world.now();
+        outbox->abandon();
+        if (reads) stream->close();
+    }
+    Ended answer(int number) const {
+        const auto all = answers(got);
+        EXPECT_TRUE(all) << "what came can't be read";
+        const auto it = all ? all->find(number) : std::map<int, Ended>::const_iterator{};
+        return all && it != all->end() ? it->second : Ended{};
+    }
+};
+
+// The notice board: notes what it is asked for, and sends what the test tells it.
+struct Noticeboard {
+    net::MemoryWorld& world;
+    std::shared_ptr<net::Listener> listener;
+    std::vector<std::pair<Time, std::uint64_t>> asked;
+    std::shared_ptr<net::Stream> stream;
+    std::uint64_t last = 1;
+    bool beats = true;
+
+    Noticeboard(net::MemoryWorld& w, const std::string& host) : world(w), listener(w.listen({host, 2379}).listener) {
+        world.spawn(accept());
+        world.spawn(beat());
+    }
+    Task<> accept() {
+        for (;;) {
+            auto accepted = co_await listener->accept();
+            if (accepted.error) co_return;
+            std::string got;
+            std::vector<char> room(64);
+            while (got.size() < 8) {
+                const auto moved = co_await accepted.stream->read(net::asio::buffer(room));
+                if (moved.error) break;
+                got.append(room.data(), moved.bytes);
+            }
+            std::uint64_t number = 0;
+            for (const char c : got) number = number << 8 | static_cast<unsigned char>(c);
+            asked.emplace_back(world.now(), number);
+            stream = accepted.stream;
+        }
+    }
+    Task<> beat() {
+        for (;;) {
+            co_await world.sleep(1s);
+            if (beats) say(frame(last, 0));
+        }
+    }
+    void say(const std::string& text) {
+        if (stream) Peer::put(stream, text);
+    }
+};
+
+class PlatformTest : public testing::Test {
+protected:
+    void open(const std::string& text = plain_config) {
+        config = read_config(file_of(text));
+        config.charter.log.file = "/dev/null";
+        log = std::make_unique<Log>(world, config.charter.log);
+        host = std::make_unique<Host>(world, config, *log, [this](const trace::Record& r) { trace.push_back(r); });
+        ASSERT_FALSE(host->open());
+    }
+    Peer& peer(std::vector<Does> does = {Does::answers}) {
+        const std::string at = "10.0.0." + std::to_string(peers.size() + 1);
+        return *peers.emplace_back(std::make_unique<Peer>(world, at, std::move(does)));
+    }
+    Client& client(Time when, std::vector<std::pair<Time, std::string>> texts, bool reads = true) {
+        return *clients.emplace_back(std::make_unique<Client>(world, when, std::move(texts), reads));
+    }
+    // A job of its own connection, which every test may expect to be honoured.
+    void job(Time when, std::uint64_t id, const std::string& key = hex16(0xf)) {
+        Client& it = client(when, {{0ms, message(1, job_fields(hex16(id), key), "work")}});
+        well.emplace_back(hex16(id), &it);
+    }
+    std::size_t honoured() const {
+        std::size_t n = 0;
+        for (const auto& [id, it] : well) {
+            const Ended end = it->answer(1);
+            EXPECT_EQ(end.times, 1) << id;
+            n += end.status() == "200" && end.body() == Peer::body_for(id);
+        }
+        return n;
+    }
+    std::size_t runs() const {
+        std::size_t n = 0;
+        for (const auto& each : peers) n += each->runs.size();
+        return n;
+    }
+    // Whatever a test did: nothing odd reached an invoker, and the same calls give the same answers again.
+    void TearDown() override {
+        for (const auto& each : peers) EXPECT_TRUE(each->odd.empty()) << each->odd.front();
+        for (const auto& each : clients) EXPECT_TRUE(answers(each->got));
+        trace::Again again;
+        for (const trace::Record& each : trace) again.feed(each);
+        EXPECT_EQ(again.compare().different_calls, 0u);
+    }
+
+    std::vector<trace::Record> trace;
+    net::MemoryWorld world;
+    Config config;
+    std::unique_ptr<Log> log;
+    std::unique_ptr<Host> host;
+    std::vector<std::unique_ptr<Peer>> peers;
+    std::vector<std::unique_ptr<Client>> clients;
+    std::vector<std::pair<std::string, Client*>> well;
+};
+
+TEST_F(PlatformTest, ManyJobsOnAConnectionAreHonouredUnchanged) {
+    peer(), peer();
+    open();
+    std::string text;
+    for (int i = 1; i <= 32; ++i) text += message(i, job_fields(hex16(static_cast<std::uint64_t>(i)), hex16(0xf)), "work", 3);
+    Client& one = client(10ms, {{0ms, text + message(40, {{"SCRIPT_NAME", "/_health"}})}});
+    world.run(5s);
+    for (int i = 1; i <= 32; ++i) EXPECT_EQ(one.answer(i).body(), Peer::body_for(hex16(static_cast<std::uint64_t>(i))));
+    EXPECT_EQ(one.answer(40).status(), "200");
+    EXPECT_EQ(runs(), 32u);
+    EXPECT_LE(peers[0]->connections + peers[1]->connections, 16);
+}
+
+class SpoiltTest : public PlatformTest, public testing::WithParamInterface<Does> {};
+TEST_P(SpoiltTest, NothingSpoiltIsPassedOnAndEveryJobHasOneAnswer) {
+    for (int i = 0; i < 2; ++i) {
+        std::vector<Does> script;
+        for (int n = 0; n < 12; ++n) script.push_back(n % 3 == 1 ? GetParam() : Does::answers);
+        script.push_back(Does::answers);
+        peer(script);
+    }
+    open();
+    for (std::uint64_t i = 1; i <= 40; ++i) job(10ms * static_cast<int>(i), i);
+    world.run(20s);
+    EXPECT_GE(honoured(), GetParam() == Does::silent ? 32u : 40u);
+    for (const auto& [id, it] : well)
+        if (it->answer(1).status() == "200") {
+            EXPECT_EQ(it->answer(1).body(), Peer::body_for(id));
+        }
+}
+INSTANTIATE_TEST_SUITE_P(All, SpoiltTest,
+                         testing::Values(Does::noise, Does::endless, Does::short_body, Does::long_body, Does::huge, Does::cuts, Does::resets,
+                                         Does::half, Does::twice, Does::ahead, Does::silent, Does::full, Does::errs));
+
+struct Bad {
+    const char* name;
+    std::string text;
+};
+void PrintTo(const Bad& bad, std::ostream* out) {
+    *out << bad.name;
+}
+
+std::vector<Bad> bad_texts() {
+    auto with = [](const std::string& field, const std::string& value) {
+        Fields fields = job_fields(hex16(7), hex16(0xe));
+        for (auto& [name, old] : fields)
+            if (name == field) old = value;
+        return message(1, fields, "work");
+    };
+    const std::string begin = record(1, 1, std::string_view("\0\1\1\0\0\0\0\0", 8));
+    const std::string good_params = record(4, 1, params_of(job_fields(hex16(7), hex16(0xe)))) + record(4, 1, "");
+    Fields twice = job_fields(hex16(7), hex16(0xe)), wrong_length = twice;
+    twice.emplace_back("HTTP_REQUEST_ID", hex16(8));
+    wrong_length.emplace_back("CONTENT_LENGTH", "-4");
+    return {
+        {"noise", std::string(3000, '\xee')},
+        {"http", "GET / HTTP/1.1\r\n\r\n"},
+        {"silence", ""},
+        {"half a head", begin.substr(0, 5)},
+        {"no end", begin + good_params + record(5, 1, "half")},
+        {"a record that stops short", begin + std::string("\1\4\0\1\xff\xff\0\0only this", 17)},
+        {"endless parameters", begin + record(4, 1, std::string(60'000, 'p'))},
+        {"a large body", begin + good_params + record(5, 1, std::string(40'000, 'b')) + record(5, 1, "")},
+        {"a name longer than its record", begin + record(4, 1, std::string("\x7f\1ab", 4)) + record(4, 1, "") + record(5, 1, "")},
+        {"a huge name", begin + record(4, 1, std::string("\xff\xff\xff\xff\1ab", 7)) + record(4, 1, "") + record(5, 1, "")},
+        {"body before parameters", begin + record(5, 1, "work")},
+        {"no use case", with("SCRIPT_NAME", "/invoke/none")},
+        {"no path", with("SCRIPT_NAME", "/else")},
+        {"no tenant", with("HTTP_ACCOUNT", "nobody")},
+        {"id with a line end", with("HTTP_REQUEST_ID", "00000000\r\nSTOP 7")},
+        {"id with a comma", with("HTTP_REQUEST_ID", "0000000000,00007")},
+        {"short id", with("HTTP_REQUEST_ID", "7")},
+        {"no id", with("HTTP_REQUEST_ID", "")},
+        {"odd key", with("HTTP_RESOURCE_KEY", "0000000000 0000f")},
+        {"negative time", with("HTTP_BUDGET_MS", "-5")},
+        {"huge time", with("HTTP_BUDGET_MS", "99999999999999999999999")},
+        {"no time", with("HTTP_BUDGET_MS", "soon")},
+        {"time that is none", with("HTTP_BUDGET_MS", "nan")},
+        {"lanes", with("HTTP_X_TAGS", "lanes:-3")},
+        {"tags", with("HTTP_X_TAGS", "memory_mb=5")},
+        {"two ids", message(1, twice, "work")},
+        {"wrong length", message(1, wrong_length, "work")},
+    };
+}
+
+class BadClientTest : public PlatformTest, public testing::WithParamInterface<Bad> {};
+TEST_P(BadClientTest, IsToldOrClosedSoonAndReachesNoInvoker) {
+    peer(), peer();
+    open();
+    std::vector<Client*> bad;
+    for (int i = 0; i < 20; ++i) bad.push_back(&client(10ms * i, {{0ms, GetParam().text}}));
+    for (std::uint64_t i = 100; i < 120; ++i) job(10ms * static_cast<int>(i - 99), i);
+    world.run(10s);
+    EXPECT_EQ(honoured(), 20u);
+    EXPECT_EQ(runs(), 20u);
+    for (const Client* each : bad) {
+        const bool told = each->answer(1).times > 0 && each->answer(1).status() != "200";
+        EXPECT_LE(std::min(told ? each->last : each->ended, each->ended) - each->connected, 2500ms);
+    }
+    EXPECT_EQ(host->gateway().status().at("door").at("held_bytes").to_number<int>(), 0);
+}
+INSTANTIATE_TEST_SUITE_P(All, BadClientTest, testing::ValuesIn(bad_texts()));
+
+TEST_F(PlatformTest, AnOpenIdUnderAnotherBodyIsNotTaken) {
+    peer(), peer();
+    open();
+    job(10ms, 5);
+    Client& other = client(15ms, {{0ms, message(1, job_fields(hex16(5), hex16(0xf)), "other")}});
+    world.run(5s);
+    EXPECT_EQ(honoured(), 1u);
+    EXPECT_EQ(runs(), 1u);
+    EXPECT_EQ(other.answer(1).status(), "400");
+}
+
+TEST_F(PlatformTest, ATakenBackJobIsStoppedAndItsNumberFree) {
+    Peer& a = peer({Does::silent, Does::answers});
+    Peer& b = peer({Does::silent, Does::answers});
+    open();
+    const std::string second = message(1, job_fields(hex16(2), hex16(0xf)));
+    Client& one = client(10ms, {{0ms, message(1, job_fields(hex16(1), hex16(0xf)))}, {100ms, record(2, 1, "")}, {200ms, second}});
+    world.run(5s);
+    EXPECT_EQ(a.stops.size() + b.stops.size(), 1u);
+    EXPECT_EQ(one.answer(1).times, 2);  // one for each
+    EXPECT_EQ(one.answer(1).body(), Peer::body_for(hex16(2)));
+}
+
+TEST_F(PlatformTest, ManyTakenBackAtOnceLeaveNothingBehind) {
+    peer({Does::silent}), peer({Does::silent});
+    open();
+    for (int c = 0; c < 30; ++c) {
+        std::string text, back;
+        for (int i = 1; i <= 32; ++i) {
+            text += message(i, job_fields(hex16(static_cast<std::uint64_t>(c * 100 + i)), hex16(static_cast<std::uint64_t>(i))));
+            back += record(2, i, "");
+        }
+        client(10ms, {{0ms, text + back}});
+    }
+    world.run(10s);
+    const auto status = host->gateway().status();
+    EXPECT_EQ(status.at("jobs").at("open").to_number<int>(), 0);
+    EXPECT_EQ(status.at("door").at("held_bytes").to_number<int>(), 0);
+}
+
+TEST_F(PlatformTest, AClientThatReadsNothingIsLetGoAndHoldsUpNobody) {
+    peer(), peer();
+    open();
+    std::string text;
+    for (int i = 1; i <= 4000; ++i) text += record(9, 0, params_of({{"FCGI_MAX_CONNS", ""}, {"FCGI_MAX_REQS", ""}}));
+    client(10ms, {{0ms, text}}, false);
+    for (std::uint64_t i = 1; i <= 20; ++i) job(50ms * static_cast<int>(i), i);
+    world.run(15s);
+    EXPECT_EQ(honoured(), 20u);
+    EXPECT_EQ(host->gateway().status().at("door").at("connections").to_number<int>(), 0);
+}
+
+// More connections than the bound: silent ones give way, and who speaks is honoured.
+TEST_F(PlatformTest, SilentConnectionsGiveWayToThoseThatSpeak) {
+    peer(), peer();
+    open();
+    for (int i = 0; i < 400; ++i) client(10ms, {});
+    for (std::uint64_t i = 1; i <= 20; ++i) job(100ms + 10ms * static_cast<int>(i), i);
+    world.run(10s);
+    EXPECT_EQ(honoured(), 20u);
+}
+
+// ---------------------------------------------------------------- the notice board
+
+TEST_F(PlatformTest, TheBoardIsFollowedThroughRepeatsGapsBreaksAndSilence) {
+    Noticeboard board(world, "10.9.0.1");
+    open();
+    world.run(500ms);
+    ASSERT_EQ(board.asked.size(), 1u);
+    EXPECT_EQ(board.asked[0].second, 1u);
+    board.last = 2;
+    const std::string second = frame(2, 2, {{3, "10.0.0.3"}});
+    board.say(second + second);  // told twice
+    world.run(600ms);
+    EXPECT_EQ(host->board().last(), 2u);
+    board.say(frame(4, 2, {{4, "10.0.0.4"}}));  // the third is missing
+    world.run(1s);
+    ASSERT_EQ(board.asked.size(), 2u);
+    EXPECT_EQ(board.asked[1].second, 2u);
+    board.last = 4;
+    board.say(frame(3, 2, {{3, "10.0.0.3", 7001, 2}}) + frame(4, 2, {{4, "10.0.0.4"}}).substr(0, 20));
+    world.run(1100ms);
+    board.stream->close();  // in the middle of an event
+    world.run(1500ms);
+    ASSERT_EQ(board.asked.size(), 3u);
+    EXPECT_EQ(board.asked[2].second, 3u);
+    board.beats = false;  // stays open and says nothing more
+    const Time silent_since = world.now();
+    world.run(silent_since + 3s);
+    ASSERT_GE(board.asked.size(), 4u);
+    EXPECT_LE(board.asked[3].first - silent_since, 3s);
+    board.say(frame(9, 1, {{9, "10.0.0.9"}}));  // a whole list makes good what was missed
+    world.run(world.now() + 100ms);
+    EXPECT_EQ(host->board().last(), 9u);
+}
+
+TEST_F(PlatformTest, ABrokenFrameMeansToAskAgain) {
+    for (const std::string& bad : {std::string("\xff\xff\xff\xff", 4), big(3, 4), big(9, 4) + big(2, 8) + "\5", big(12, 4) + big(2, 8) + "\2abc"}) {
+        net::MemoryWorld own;
+        Noticeboard board(own, "10.9.0.1");
+        Config told = read_config(file_of(plain_config));
+        told.charter.log.file = "/dev/null";
+        Log quiet(own, told.charter.log);
+        board::Board it(own, quiet, told.places, told.board, 1, [](const board::Event&) {});
+        it.follow();
+        own.run(500ms);
+        board.say(bad);
+        own.run(1s);
+        EXPECT_EQ(board.asked.size(), 2u);
+    }
+}
+
+TEST_F(PlatformTest, ANewConfigurationMovesToTheBoardsNewAddress) {
+    Noticeboard old(world, "10.9.0.1"), fresh(world, "10.9.0.2");
+    open();
+    world.run(500ms);
+    old.last = 2;
+    old.say(frame(2, 2, {{3, "10.0.0.3"}}));
+    world.run(600ms);
+    host->reconfigured(read_config(file_of(replaced(plain_config, "10.9.0.1", "10.9.0.2"))));
+    world.run(800ms);
+    ASSERT_EQ(fresh.asked.size(), 1u);
+    EXPECT_EQ(fresh.asked[0].second, 2u);
+    EXPECT_EQ(old.asked.size(), 1u);
+}
+
+// ---------------------------------------------------------------- drains, reused addresses, the end
+
+TEST_F(PlatformTest, ADrainingInvokerIsSentNothingNewAndOneAtAReusedAddressStartsAfresh) {
+    Peer& a = peer();
+    Peer& b = peer();
+    Noticeboard board(world, "10.9.0.1");
+    open();
+    for (std::uint64_t i = 1; i <= 300; ++i) job(10ms * static_cast<int>(i), i, hex16(i % 7 + (i > 220 ? 10 : 0)));
+    world.at(1s, [&] { board.say(frame(board.last = 2, 2, {{1, "10.0.0.1", 7001, 1}})); });
+    world.at(2s, [&] { board.say(frame(board.last = 3, 2, {{1, "10.0.0.1", 7001, 2}, {3, "10.0.0.1"}})); });
+    world.run(8s);
+    EXPECT_EQ(honoured(), 300u);
+    int drained = 0, later = 0;
+    for (const auto& [at, id] : a.runs) {
+        drained += at > 1010ms && at < 2s;
+        later += at > 2s;
+    }
+    EXPECT_EQ(drained, 0);
+    EXPECT_GT(later, 0);
+    EXPECT_GT(b.runs.size(), 100u);
+}
+
+TEST_F(PlatformTest, AfterTheWordToEndClientsAreTakenForAMomentAndAllAreAnswered) {
+    Peer& a = peer();
+    Peer& b = peer();
+    a.takes = b.takes = 400ms;
+    open();
+    for (std::uint64_t i = 1; i <= 160; ++i) job(10ms * static_cast<int>(i), i);
+    Time ended{};
+    world.at(1s, [&] { host->end([&] { ended = world.now(); }); });
+    world.run(10s);
+    EXPECT_EQ(honoured(), 160u);  // the last 0.6 s after the word
+    EXPECT_GT(ended, 1800ms);
+    EXPECT_LT(ended, 4s);
+    Client& late = client(world.now() + 10ms, {});
+    world.run(world.now() + 1s);
+    EXPECT_NE(late.ended, Time::max());  // nobody listens any more
+}
+
+// A restart is ready from nothing, and gives a late starter no more than its cold budget though nothing is learned.
+TEST_F(PlatformTest, AfterARestartAColdInvokerStaysWithinItsBudget) {
+    peer(), peer();
+    open(replaced(plain_config, R"("state":"up","capacity_hint":5,"boot_ms":0},)", R"("state":"up","capacity_hint":5,"boot_ms":1},)"));
+    for (std::uint64_t i = 1; i <= 100; ++i) job(5ms * static_cast<int>(i), i, hex16(i));
+    world.run(400ms);
+    EXPECT_LE(peers[0]->runs.size(), 3u);
+    world.run(10s);
+    EXPECT_GE(honoured(), 90u);
+}
+
+// ---------------------------------------------------------------- the configuration
+
+struct Causes : gateway::Lines {
+    using gateway::Lines::cause_of;
+};
+
+// The reset day: connections reset as they came up were taken for machines that are gone, and forgotten with all
+// that stood loaded there.
+TEST(Connecting, OnlyARefusalOrSilenceSaysThatNobodyIsThere) {
+    namespace error = net::asio::error;
+    for (const net::Error& nobody : {net::Error(error::connection_refused), net::Error(error::timed_out), net::Error(error::host_unreachable)})
+        EXPECT_EQ(Causes::cause_of(nobody), proof::Cause::no_connection);
+    for (const net::Error& here : {net::Error(error::connection_reset), net::Error(error::no_descriptors), net::Error(error::broken_pipe),
+                                   net::Error(error::no_buffer_space), net::Error(error::operation_aborted)}) {
+        EXPECT_EQ(Causes::cause_of(here), proof::Cause::line_broke);
+        EXPECT_EQ(proof::ending_of(proof::Reached::nothing_connected, Causes::cause_of(here)), Ending::never_sent);
+    }
+}
+
+TEST(PlatformConfig, AnErrorNamesFileAndField) {
+    const auto why = [](const std::string& text) -> std::string {
+        try {
+            read_config(file_of(text));
+        } catch (const settings::Fault& fault) {
+            return fault.what();
+        }
+        return "";
+    };
+    EXPECT_EQ(why(plain_config), "");
+    for (const auto& [bad, word] : std::vector<std::pair<std::string, std::string>>{
+             {"{", "is no JSON"},
+             {"[]", "is no JSON"},
+             {replaced(plain_config, R"("listen":"10.1.0.1:7001")", R"("listen":"here")"), "'listen'"},
+             {replaced(plain_config, R"("board":"10.9.0.1:2379",)", ""), "'board'"},
+             {replaced(plain_config, R"("seed":"8c1f30d27a5be964")", R"("seed":"xyz")"), "'seed'"},
+             {replaced(plain_config, R"("sockets":256)", R"("sockets":8)"), "'sockets'"},
+             {replaced(plain_config, R"("memory_mb":48)", R"("memory_mb":"much")"), "'memory_mb'"},
+             {replaced(plain_config, R"("classes":[)", R"("else":[)"), "'classes'"},
+             {replaced(plain_config, R"("uid":"s-00000001")", R"("uid":7)"), "'uid'"}}) {
+        EXPECT_NE(why(bad).find(word), std::string::npos) << why(bad) << " for " << word;
+        EXPECT_NE(why(bad).find("platform_config.json"), std::string::npos);
+    }
+    EXPECT_NE([] {
+        try {
+            read_config("/nowhere/config.json");
+        } catch (const settings::Fault& fault) {
+            return std::string(fault.what());
+        }
+        return std::string();
+    }().find("/nowhere/config.json"), std::string::npos);
+}
+
+TEST(PlatformConfig, BoundsFollowFromTheLimits) {
+    const Config config = read_config(file_of(plain_config));
+    EXPECT_LE(config.charter.door.connections + config.charter.lines.most_all, 256u);
+    EXPECT_GE(config.charter.door.connections, 256u / 3);  // clients hold a third at the most
+    EXPECT_LT(config.charter.door.memory_bytes, 48u * 1024 * 1024 / 4);
+    EXPECT_EQ(config.seed, 0x8c1f30d27a5be964u);
+    EXPECT_EQ(config.known_to, 1u);
+}
+
+}  // namespace
+}  // namespace plumkeel::platform
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -9,7 +9,7 @@
 //   leave JOB                                     the client gives up
 //   to MS                                         time passes, with all wakings due until then
 //   stall MS                                      time passes, but the controller stands still
-//   expect hop JOB INVOKER | off JOB | probe INVOKER | order|unload FUNCTION INVOKER  since the last 'clear'
+//   expect hop JOB INVOKER | off JOB | probe INVOKER | release INVOKER | order|unload FUNCTION INVOKER  since the last 'clear'
 //   deny ...                                      the same, and it must not have happened
 //   state JOB STATE                               as it stands now
 //   why JOB REASON                                what it was turned for last
@@ -186,6 +186,7 @@
     }
 
     void note(const Results& r) {
+        for (const Invoker* invoker : r.released) happened.push_back({"release", invoker->name});
         for (const Hop* hop : r.called_off) happened.push_back({"off", name_of(hop->job)});
         for (const Hop* hop : r.started) happened.push_back({"hop", name_of(hop->job), hop->invoker->name});
         for (const Invoker* invoker : r.probed) happened.push_back({"probe", invoker->name});
@@ -267,7 +268,7 @@
     }
 
     bool seen(const std::vector<std::string>& wanted) {
-        if (!std::set<std::string>{"hop", "off", "probe", "order", "unload"}.count(wanted.at(1)))
+        if (!std::set<std::string>{"hop", "off", "probe", "release", "order", "unload"}.count(wanted.at(1)))
             fail("unknown word '" + wanted[1] + "'");
         for (const auto& was : happened)
             if (matches(was, wanted)) return true;
