An invoker without room for a load is still sent what stands loaded there

Change: only a hop whose free copy was seen to stand there shuns its invoker; no room for copies holds as before.

--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -221,6 +221,7 @@
     hop.limit = job.expires - now_;
     hop.out = true;
     hop.expected_warm = choice.warm;
+    hop.seen_warm = believed(&belief);
     hop.beside = belief.out;
     hop.crowd = crowd_at(invoker) + 1;
     if (!choice.warm && !function.loading) {
@@ -586,7 +587,7 @@
             break;
         case Ending::turned_away:
             answered_well(invoker);
-            turned_away(invoker);
+            turned_away(invoker, stood_free(hop, company));
             break;
         case Ending::unreachable:
             mistrust(invoker, true);
@@ -660,7 +661,7 @@
     }
     if (ending == Ending::unreachable) mistrust(invoker, true);
     if (ending == Ending::cut_off) mistrust(invoker, false);
-    if (ending == Ending::turned_away) turned_away(invoker);
+    if (ending == Ending::turned_away) turned_away(invoker, false);
     if (function.loading == &invoker) {
         // Step 3: what could not be loaded is tried again with the next resend, not at once.
         if (ending == Ending::honoured || copies > 0)
@@ -871,10 +872,18 @@
     }
 }
 
+// Whether a copy with a lane to spare stood where the hop went, as far as this controller could see.
+bool Controller::stood_free(const Hop& hop, int company) const {
+    const Belief* belief = belief_of(*hop.job->function, *hop.invoker);
+    const int lanes = std::max(1, hop.job->function->lanes) * std::max(1, belief ? belief->copies : 1);
+    return hop.seen_warm && std::max(hop.beside, company) < lanes;
+}
+
 // An invoker that turned a job away is left alone for a moment, and for longer where a copy would need room.
-// Against memory that is full and against resends that hammer.
-void Controller::turned_away(Invoker& invoker) {
-    invoker.shun_until = now_ + shun;
+// Against memory that is full and against resends that hammer. Where the job would have begun a load, it has no
+// room for loads alone: what stands there is sent on (day "reload": all shunned while their cores idled).
+void Controller::turned_away(Invoker& invoker, bool stood) {
+    if (stood) invoker.shun_until = now_ + shun;
     invoker.no_room_until = now_ + no_room;
 }
 
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -72,7 +72,8 @@
     void probe(Invoker& invoker);
     void mistrust(Invoker& invoker, bool certain);
     void answered_well(Invoker& invoker);
-    void turned_away(Invoker& invoker);
+    void turned_away(Invoker& invoker, bool stood);
+    bool stood_free(const Hop& hop, int company) const;
     void rescue(Invoker& invoker);
     void leave_list(Invoker& invoker);
     void forget(Invoker& invoker);
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -93,6 +93,7 @@
     bool out{};
     bool loads{};  // this hop is its function's one load
     bool expected_warm{};
+    bool seen_warm{};  // by an answer from there, not by what other controllers are taken to do
     int beside{};    // own jobs of the function there when it left
     double crowd{};  // jobs thought to be there when it left
     std::optional<Ending> ending;
