--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -672,8 +672,9 @@
     return done();
 }
 
-// Exception "faulty": an invoker that answers most jobs at once with an error looks idle and draws
-// more of them (day "reload" on sockets). An error counts against it only once another has honoured the same job, so that
+// Exception "faulty": an invoker that answers most jobs at once with an error looks idle and
+// draws more of them (day "reload" on sockets). An error counts against it only once another has
+// honoured the same job, so that
 // jobs nobody could run blame nobody. It could harm where a job's own fault comes and goes.
 void Controller::blame(const Hop& hop) {
     auto count = [](Invoker& invoker, double bad) { invoker.faulty += fault_gain * (bad - invoker.faulty); };
@@ -880,8 +881,9 @@
 }
 
 // An invoker that turned a job away is left alone for a moment, and for longer where a copy would need room.
-// Against memory that is full and against resends that hammer. Where the job would have begun a load, it
-// has no room for loads alone: what stands there is sent on (day "reload": all shunned while their cores idled).
+// Against memory that is full and against resends that hammer. Where the job would have begun a load,
+// it has no room for loads alone: what stands there is sent on (day "reload": all shunned while
+// their cores idled).
 void Controller::turned_away(Invoker& invoker, bool stood) {
     if (stood) invoker.shun_until = now_ + shun;
     invoker.no_room_until = now_ + no_room;
@@ -996,8 +998,8 @@
     });
 }
 
-// Lets go of invokers that are off the list for good, once no belief, load, probe or unclosed job points to
-// them: else a fleet that is replaced all day fills the memory.
+// Lets go of invokers that are off the list for good, once no belief, load, probe or unclosed job points
+// to them: else a fleet that is replaced all day fills the memory.
 void Controller::release_gone() {
     std::erase_if(fleet_, [&](Invoker* invoker) {
         const bool old = !invoker->listed && now_ - invoker->left_list > release_invoker;
