--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -43,7 +43,7 @@
     charter.lines.most = std::clamp<std::size_t>(charter.lines.most_all / std::max<std::size_t>(1, invokers + invokers / 2), 1, 8);
 }
 
-// What the process holds beside bodies is measured at 14 MB (docs/design/020-platform.md).
+// What the process holds beside bodies is 14 to 19 MB resident by its own state lines.
 void share_memory(std::size_t memory_mb, Charter& charter) {
     const std::size_t bytes = memory_mb * 1024 * 1024;
     if (memory_mb < 24) throw Fault("field 'memory_mb' is under 24: the program alone takes more than half of it");
