A configuration without any deadline is refused, with the field named

Found by one more read: the longest time left that a client may ask for came from it, and with none every job would have been turned back. Tested with the other faults of a configuration.

--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -79,6 +79,8 @@
         stated.name = name;
     }
     if (charter.use_cases.empty()) throw Fault("field 'classes' is missing: at least one is needed");
+    // It bounds what a client may ask for: with none, every job would be turned back.
+    if (told.longest_wait <= Time{}) throw Fault("field 'deadline' of 'classes' is missing");
     out.places = {told.zones, told.kinds};
     out.sight = {told.report_fields, told.says_company};
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -584,6 +584,7 @@
              {replaced(plain_config, R"("sockets":256)", R"("sockets":8)"), "'sockets'"},
              {replaced(plain_config, R"("memory_mb":48)", R"("memory_mb":"much")"), "'memory_mb'"},
              {replaced(plain_config, R"("classes":[)", R"("else":[)"), "'classes'"},
+             {replaced(plain_config, R"("deadline":3000.0,)", ""), "'deadline'"},
              {replaced(plain_config, R"("uid":"s-00000001")", R"("uid":7)"), "'uid'"}}) {
         EXPECT_NE(why(bad).find(word), std::string::npos) << why(bad) << " for " << word;
         EXPECT_NE(why(bad).find("platform_config.json"), std::string::npos);
