What no byte of has left is taken back, and connections move to invokers without one

Seen by reading: a RUN put behind a full socket, or on a connection still coming up, left after its client was gone or its invoker drained; with no leave to cancel it was not even asked back. An invoker without a connection waited for ever where the pool was used up, though others idled. A hop with no millisecond left was written with a patience of 0, which voids the run. At fault: Wire::put and Wire::take_off (queued counted as written), Lines::choose (open_all_ bound without any eviction). Now one hop at most is ahead of the socket, the pool evicts the connection that idled longest and serves waiting invokers in turn. Part of a hop already in the socket still leaves.

--- a/src/gateway/edges.hpp
+++ b/src/gateway/edges.hpp
@@ -95,6 +95,10 @@
 
     void send(std::shared_ptr<Errand> errand);
     virtual void call_off(Errand& errand) { stop(errand, proof::Cause::called_off); }
+    // Its job is over. What has not begun to leave is not sent any more, whether or not invokers may be told to stop.
+    void take_back(Errand& errand) {
+        if (errand.state_ == Errand::State::waiting) stop(errand, proof::Cause::withdrawn);
+    }
     // Hops whose bytes have not begun to leave end as never sent: the list says that the invoker takes no more.
     virtual void withdraw() = 0;
     // The invoker has a new address; what is out at the old one is awaited there.
--- a/src/platform/host.hpp
+++ b/src/platform/host.hpp
@@ -28,7 +28,7 @@
     net::World& world_;
     Log& log_;
     const Config config_;
-    std::size_t open_lines_{};
+    runline::Pool pool_;
     gateway::Gateway gateway_;
     fastcgi::Front front_;
     board::Board board_;
--- a/src/runline/lines.cpp
+++ b/src/runline/lines.cpp
@@ -1,6 +1,7 @@
 #include "runline/lines.hpp"
 
 #include <algorithm>
+#include <limits>
 
 #include "gateway/gateway.hpp"
 #include "net/limit.hpp"
@@ -23,19 +24,19 @@
               if (out_.empty()) close();
           }),
           half_(lines.world_, [this] { spoilt("half_an_answer"); }) {
-        ++lines_.open_all_;
+        ++lines_.pool_.open_;
     }
 
     void start() { world_.spawn(live(shared_from_this(), lines_.address_)); }
 
     void take(const std::shared_ptr<Errand>& errand, std::string id) {
         Lines::carrier(*errand) = shared_from_this();
-        Lines::set_state(*errand, Errand::State::out);
         idle_.clear();
-        out_.push_back({std::move(id), errand, 0, world_.now()});
+        lines_.pool_.busy(*this);
+        out_.push_back({std::move(id), errand, unwritten, world_.now()});
         if (outbox_) {
             ++lines_.counts_.reused;
-            put(out_.back());
+            put_on();
         }
     }
 
@@ -46,8 +47,10 @@
         const Placed placed = *it;
         out_.erase(it);
         Lines::carrier(errand).reset();
-        if (!outbox_) return Reached::nothing_connected;
-        // Queued is as good as written: what waits for room here leaves before the word that calls it off.
+        if (placed.whole_at == unwritten) {
+            rest();
+            return outbox_ ? Reached::not_written : Reached::nothing_connected;
+        }
         if (!errand.light()) outbox_->send(stop(placed.id));
         // Nothing at all heard for the whole of a probe's time: this connection is of no use, whatever the invoker is.
         if (errand.light() && cause == Cause::time_ran_out && heard_ <= placed.since) spoilt("silent");
@@ -60,7 +63,11 @@
         alive_ = false;
         idle_.clear();
         half_.clear();
-        if (stream_) stream_->close();
+        lines_.pool_.busy(*this);
+        if (stream_) {
+            stream_->close();
+            uncount();
+        }
         if (outbox_) outbox_->abandon();
     }
 
@@ -82,10 +89,12 @@
     // Hops none of whose bytes has left.
     void unsent(std::vector<std::shared_ptr<Errand>>& into) const {
         for (const Placed& placed : out_)
-            if (!outbox_ && !placed.errand->light()) into.push_back(placed.errand);
+            if (placed.whole_at == unwritten && !placed.errand->light()) into.push_back(placed.errand);
     }
 
 private:
+    static constexpr std::size_t unwritten = std::numeric_limits<std::size_t>::max();
+
     struct Placed {
         std::string id;
         std::shared_ptr<Errand> errand;
@@ -93,8 +102,31 @@
         net::Time since;
     };
 
+    // Writes what waits, oldest first, but no more than one hop ahead of what the socket takes: a hop that waits here
+    // can still be taken back, when its client leaves or its invoker drains.
+    void put_on() {
+        for (std::size_t i = 0; i < out_.size() && alive_; ++i) {
+            if (out_[i].whole_at != unwritten) continue;
+            if (!out_[i].errand->light() && outbox_->pending() > 0) continue;
+            put(out_[i]);
+        }
+        const auto waits = [](const Placed& p) { return p.whole_at == unwritten; };
+        if (!alive_ || putting_ || outbox_->pending() == 0 || std::none_of(out_.begin(), out_.end(), waits)) return;
+        putting_ = true;
+        world_.spawn(put_later(shared_from_this()));
+    }
+
+    net::Task<> put_later(std::shared_ptr<Wire>) {
+        co_await outbox_->below(0);
+        putting_ = false;
+        if (alive_ && !outbox_->broken()) put_on();
+    }
+
     void put(Placed& placed) {
         const Errand& errand = *placed.errand;
+        // An invoker can't use a hop without time. Its own limit ends it at this very moment, as never sent.
+        if (!errand.light() && errand.until - world_.now() < 1ms) return;
+        Lines::set_state(*placed.errand, Errand::State::out);
         placed.since = world_.now();
         if (errand.light()) {
             outbox_->send(probe(placed.id, !lines_.sight_.report_fields.empty()));
@@ -124,6 +156,8 @@
         if (was_idle) ++lines_.counts_.broke_idle;
         close();
         alive_ = false;
+        lines_.pool_.busy(*this);
+        uncount();
         if (stream_) stream_->close();
         const auto ends = std::exchange(out_, {});
         const std::size_t sent = outbox_ ? outbox_->sent() : 0;
@@ -138,7 +172,7 @@
     net::Task<> talk() {
         outbox_ = std::make_shared<net::Outbox>(world_, stream_);
         heard_ = world_.now();
-        for (Placed& placed : out_) put(placed);
+        put_on();
         rest();
         Reader reader(line_most, lines_.rules_.answer_held);
         std::vector<char> room(read_at_once);
@@ -194,11 +228,19 @@
         if (!out_.empty() || !alive_) return;
         if (retired_) return close();
         idle_.set(world_.now() + lines_.rules_.idle_for);
+        if (outbox_) lines_.pool_.idles(*this);
+    }
+
+    // Once, when its descriptor is free.
+    void uncount() {
+        if (!std::exchange(counted_, false)) return;
+        --lines_.pool_.open_;
+        lines_.pool_.serve_soon();
     }
 
     Lines& lines_;
     net::World& world_;
-    bool alive_ = true, retired_{};
+    bool alive_ = true, retired_{}, counted_ = true, putting_{};
     std::shared_ptr<net::Stream> stream_;
     std::shared_ptr<net::Outbox> outbox_;  // once connected
     std::vector<Placed> out_;
@@ -206,16 +248,56 @@
     net::Limit idle_, half_;
 };
 
+// ---------------------------------------------------------------- the pool
+
+bool Pool::evict() {
+    if (idle_.empty()) return false;
+    idle_.front()->close();
+    return true;
+}
+
+void Pool::idles(Wire& wire) {
+    busy(wire);
+    idle_.push_back(&wire);
+    serve_soon();
+}
+
+void Pool::busy(Wire& wire) {
+    std::erase(idle_, &wire);
+}
+
+void Pool::wait(Lines& lines) {
+    if (std::find(waiting_.begin(), waiting_.end(), &lines) == waiting_.end()) waiting_.push_back(&lines);
+}
+
+// At the next turn, since whoever frees a connection may be in the middle of its own work.
+void Pool::serve_soon() {
+    if (waiting_.empty() || serving_.second) return;
+    serving_ = world_.at(world_.now(), [this] {
+        serving_ = {};
+        for (std::size_t turns = waiting_.size(); turns > 0 && !waiting_.empty(); --turns) {
+            Lines* const next = waiting_.front();
+            waiting_.pop_front();
+            next->wire_free();
+        }
+    });
+}
+
+// ---------------------------------------------------------------- the connections to one invoker
+
 Lines::Lines(net::World& world, const LineRules& rules, const Sight& sight, net::Address address, gateway::LineCounts& counts,
-             std::size_t& open_all)
-    : gateway::Lines(world), rules_(rules), sight_(sight), address_(std::move(address)), counts_(counts), open_all_(open_all) {}
+             Pool& pool)
+    : gateway::Lines(world), rules_(rules), sight_(sight), address_(std::move(address)), counts_(counts), pool_(pool) {}
 
-Lines::~Lines() = default;
+Lines::~Lines() {
+    pool_.left(*this);
+}
 
 bool Lines::carry(const std::shared_ptr<Errand>& errand) {
     if (dispatch(errand)) return true;
     if (queue_.size() >= rules_.queued) return false;
     queue_.push_back(errand);
+    pool_.wait(*this);
     return true;
 }
 
@@ -227,8 +309,10 @@
 // longest while something is out on it: it is the one in doubt.
 std::shared_ptr<Wire> Lines::choose(const Errand& errand) {
     std::shared_ptr<Wire> best;
+    std::size_t takers = 0;  // what only waits for its last answers, at an earlier address, stands in nobody's way
     for (const auto& wire : wires_) {
         if (!wire->takes()) continue;
+        ++takers;
         if (errand.light()) {
             if (!best || (wire->load() > 0 && (best->load() == 0 || wire->heard() < best->heard()))) best = wire;
             continue;
@@ -236,9 +320,9 @@
         if (wire->load() >= rules_.hops_a_line || wire->bears(errand.ward->name)) continue;
         if (!best || wire->load() < best->load()) best = wire;
     }
-    const bool room = wires_.size() < rules_.most && open_all_ < rules_.most_all;
+    const bool room = pool_.open() < rules_.most_all;
     const bool new_one = !best || (!errand.light() && best->load() > 0);
-    if (new_one && (room || (wires_.empty() && open_all_ < rules_.most_all + rules_.most))) {
+    if (new_one && takers < rules_.most && (room || (takers == 0 && pool_.evict()))) {
         best = wires_.emplace_back(std::make_shared<Wire>(*this));
         best->start();
     }
@@ -255,13 +339,16 @@
 void Lines::wire_free() {
     while (!queue_.empty()) {
         const auto errand = queue_.front();
-        if (errand->state() != Errand::State::ended && !dispatch(errand)) return;
+        if (errand->state() != Errand::State::ended && !dispatch(errand)) {
+            pool_.wait(*this);
+            return;
+        }
         queue_.pop_front();
     }
 }
 
 void Lines::wire_gone(const std::shared_ptr<Wire>& wire) {
-    if (std::erase(wires_, wire)) --open_all_;
+    std::erase(wires_, wire);
     wire_free();
 }
 
--- a/src/runline/lines.hpp
+++ b/src/runline/lines.hpp
@@ -24,12 +24,40 @@
 };
 
 class Wire;
+class Lines;
+
+// The connections to all invokers together, which rules.most_all bounds. When they are used up, an invoker without
+// one takes the place of the connection that has idled longest: nothing is owed on it. Where none idles, invokers
+// wait here in turn for the first that does.
+class Pool {
+public:
+    explicit Pool(net::World& world) : world_(world) {}
+    ~Pool() { world_.drop(serving_); }
+    Pool(const Pool&) = delete;
+    Pool& operator=(const Pool&) = delete;
+
+    std::size_t open() const { return open_; }
+    bool evict();  // false: all are in use
+
+private:
+    friend class Wire;
+    friend class Lines;
+    void idles(Wire& wire);
+    void busy(Wire& wire);
+    void wait(Lines& lines);
+    void left(Lines& lines) { std::erase(waiting_, &lines); }
+    void serve_soon();
+
+    net::World& world_;
+    std::size_t open_{};
+    std::vector<Wire*> idle_;  // the one that has idled longest first
+    std::deque<Lines*> waiting_;
+    net::World::Ticket serving_{};
+};
 
 class Lines : public gateway::Lines {
 public:
-    // `open_all` counts the connections to all invokers, which rules.most_all bounds.
-    Lines(net::World& world, const LineRules& rules, const Sight& sight, net::Address address, gateway::LineCounts& counts,
-          std::size_t& open_all);
+    Lines(net::World& world, const LineRules& rules, const Sight& sight, net::Address address, gateway::LineCounts& counts, Pool& pool);
     ~Lines() override;
 
     void withdraw() override;
@@ -41,6 +69,7 @@
 
 private:
     friend class Wire;
+    friend class Pool;
     bool carry(const std::shared_ptr<Errand>& errand) override;
     proof::Reached take_off(Errand& errand, proof::Cause cause) override;
     bool dispatch(const std::shared_ptr<Errand>& errand);
@@ -53,7 +82,7 @@
     const Sight& sight_;
     net::Address address_;
     gateway::LineCounts& counts_;
-    std::size_t& open_all_;
+    Pool& pool_;
     std::vector<std::shared_ptr<Wire>> wires_;
     std::deque<std::shared_ptr<Errand>> queue_;
     std::uint64_t tags_{};
