Clients are read whatever is pending; a process that ends answers what its buffers hold

Seen by reading: while more than 64 KiB of answers were pending nothing was read, so a cancel or close went unseen; a record stuck in the middle dropped the open jobs of its connection 200 ms later; the process ended while farewells lingered, and without a look at the backlog and unread buffers; accept slept up to 1.3 s when descriptors were short, whatever became free meanwhile; a time left under 1 ms was answered as failed though it never ran. At fault: Visit::live, Visit::leave, Visit::watch, Front::accept, Front::close, Visit::understand.

--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -21,6 +21,7 @@
     {400, "mark_missing", "a referenced job needs plumkeel-mark", false},
     {400, "time_left_absent", "plumkeel-time-left is missing", false},
     {400, "time_left_absurd", "plumkeel-time-left is no sensible number of milliseconds", false},
+    {503, "no_time_left", "no time is left for an answer", false},
     {413, "body_too_big", "the body is over its limit", false},
     {408, "body_too_slow", "the body came too slowly", false},
     {503, "too_many_jobs", "too many jobs are open", true},
--- a/src/door/door.hpp
+++ b/src/door/door.hpp
@@ -42,6 +42,7 @@
     mark_missing,
     time_left_absent,
     time_left_absurd,
+    no_time_left,
     body_too_big,
     body_too_slow,
     too_many_jobs,
--- a/src/fastcgi/front.cpp
+++ b/src/fastcgi/front.cpp
@@ -8,7 +8,11 @@
 
 using namespace std::chrono_literals;
 
-Front::Front(gateway::Gateway& gateway, Paths paths) : gateway_(gateway), paths_(std::move(paths)) {}
+constexpr std::size_t most_over = 8;  // connections beyond the bound, while those in whose place they stand take leave
+constexpr int most_looks = 100;       // at what came before the door closes: who sends without end is not waited for
+
+Front::Front(gateway::Gateway& gateway, Paths paths)
+    : gateway_(gateway), paths_(std::move(paths)), visit_left_(gateway.world()) {}
 Front::~Front() = default;
 
 net::Error Front::open() {
@@ -27,21 +31,29 @@
         if (accepted.error == net::asio::error::operation_aborted) co_return;
         if (accepted.error) {
             // Nearly always for want of descriptors. The connection stays in the backlog, so accepting at
-            // once again would spin.
+            // once again would spin: the next try comes when a descriptor is free, or after a growing pause.
             gateway_.log().line(Log::Level::error, "accept_broke", {{"why", accepted.error.message()}});
-            make_room();
-            co_await gateway_.world().sleep(door.no_descriptors());
+            if (const auto chosen = least_needed()) chosen->leave_at_once();
+            auto ticket = gateway_.world().at(gateway_.world().now() + door.no_descriptors(), [this] { visit_left_.fire(); });
+            co_await visit_left_.wait();
+            gateway_.world().drop(ticket);
             continue;
         }
         door.accepted();
         Objection objection = door.connection_came();
         if (objection != Objection::none) {
-            // The place is free only once the other has gone: this one may stand beside it for that long.
+            // The place is free only once the other has gone: this one may stand beside it for that long. More than
+            // a few such would together cost the board its descriptor, so their farewell is cut short.
             door.count(objection);
-            if (!make_room()) {
+            const auto chosen = least_needed();
+            if (!chosen) {
                 accepted.stream->close();
                 continue;
             }
+            if (door.connections() < door.rules().connections + most_over)
+                chosen->leave();
+            else
+                chosen->leave_at_once();
             door.connection_came_over();
         }
         const auto visit = std::make_shared<Visit>(*this, ++visit_numbers_, std::move(accepted.stream));
@@ -50,7 +62,8 @@
     }
 }
 
-bool Front::make_room() {
+// The one to go when places are short; null where none may.
+std::shared_ptr<Visit> Front::least_needed() const {
     std::shared_ptr<Visit> chosen;
     for (const auto& [number, visit] : visits_) {
         if (!visit->idle()) continue;
@@ -60,13 +73,23 @@
         }
         if (!chosen || visit->last() < chosen->last()) chosen = visit;
     }
-    if (!chosen) return false;
-    chosen->leave();
-    return true;
+    return chosen;
 }
 
 void Front::close(std::function<void()> then) {
     then_ = std::move(then);
+    shut(most_looks);
+}
+
+// What came before the door closes is owed an answer, also where this process has not come to read it: connections
+// in the backlog, and jobs in the buffers of sockets.
+void Front::shut(int looks) {
+    const bool owed = (listener_ && listener_->waiting()) ||
+                      std::any_of(visits_.begin(), visits_.end(), [](const auto& each) { return each.second->unread(); });
+    if (owed && looks > 0) {
+        gateway_.world().at(gateway_.world().now() + 1ms, [this, looks] { shut(looks - 1); });
+        return;
+    }
     if (listener_) listener_->close();
     gateway_.close([this] {
         answered_all_ = true;
@@ -77,9 +100,10 @@
 void Front::see_whether_done() {
     if (!then_ || !answered_all_) return;
     for (const auto& [number, visit] : std::map(visits_))
-        if (visit->idle()) visit->leave();
-    if (std::any_of(visits_.begin(), visits_.end(), [](const auto& each) { return each.second->busy(); })) {
-        gateway_.world().at(gateway_.world().now() + 50ms, [this] { see_whether_done(); });
+        if (visit->idle() && !visit->unread()) visit->leave();
+    // Also those that only linger: an end of the process resets what its client has not read yet.
+    if (!visits_.empty()) {
+        gateway_.world().at(gateway_.world().now() + 20ms, [this] { see_whether_done(); });
         return;
     }
     gateway_.world().at(gateway_.world().now(), std::exchange(then_, nullptr));
@@ -87,6 +111,7 @@
 
 void Front::visit_gone(const std::shared_ptr<Visit>& visit) {
     if (visits_.erase(visit->number())) gateway_.door().connection_left();
+    visit_left_.fire();
 }
 
 }  // namespace plumkeel::fastcgi
--- a/src/fastcgi/front.hpp
+++ b/src/fastcgi/front.hpp
@@ -35,7 +35,8 @@
 
 private:
     net::Task<> accept();
-    bool make_room();
+    std::shared_ptr<Visit> least_needed() const;
+    void shut(int looks);
     void see_whether_done();
 
     gateway::Gateway& gateway_;
@@ -45,6 +46,7 @@
     std::unordered_set<std::string> names_;
     std::uint64_t visit_numbers_{};
     bool answered_all_{};
+    net::Signal visit_left_;
     std::function<void()> then_;
 };
 
--- a/src/fastcgi/visit.cpp
+++ b/src/fastcgi/visit.cpp
@@ -16,7 +16,8 @@
 namespace {
 
 constexpr std::size_t read_at_once = 8 * 1024;
-constexpr std::size_t pending_most = 64 * 1024;       // of answers: beyond it no further messages are read
+constexpr std::size_t pending_most = 64 * 1024;       // of answers: beyond it no further jobs are taken
+constexpr std::size_t pending_end = 1024 * 1024;      // beyond all answers that may be open at once: the connection goes
 constexpr std::size_t thrown_away_most = 256 * 1024;  // of what is not taken: beyond it the connection goes
 constexpr Time lingering = 200ms, watch_every = 250ms;
 constexpr std::size_t key_digits = 16;
@@ -84,8 +85,8 @@
 
 net::Task<> Visit::live(std::shared_ptr<Visit> self) {
     std::vector<char> room(read_at_once);
+    // Read on whatever is pending: a client that takes its job back or closes must be seen at once.
     while (!leaving_) {
-        co_await outbox_->below(pending_most);  // who reads no answers gets no further jobs in
         const net::Moved moved = co_await stream_->read(net::asio::buffer(room));
         if (moved.error || leaving_) break;
         last_ = world().now();
@@ -93,6 +94,12 @@
         const bool read = intake_.feed({room.data(), moved.bytes}, *this);
         if (intake_.records() != records || !intake_.in_record()) stuck_since_ = last_;
         if (!read) gateway_.door().count(Objection::malformed);
+        if (outbox_->pending() > pending_end) {
+            gateway_.door().count(Objection::unread_answer);
+            outbox_->abandon();
+            stream_->reset();
+            break;
+        }
         if (!read || !count_coming() || intake_.thrown_away() > thrown_away_most) {
             leave();
             break;
@@ -125,6 +132,8 @@
 // would send a reset for the unread bytes, which may overtake our last answer.
 void Visit::leave() {
     if (std::exchange(leaving_, true)) return;
+    // From here on nothing is read, so nobody could say that a job is wanted no more: none stays open.
+    while (!open_.empty()) drop(open_.begin()->first);
     auto farewell = [](std::shared_ptr<Visit> self) -> net::Task<> {
         co_await self->outbox_->below(0);
         self->stream_->end_sending();
@@ -136,6 +145,12 @@
     world().spawn(farewell(shared_from_this()));
 }
 
+void Visit::leave_at_once() {
+    if (std::exchange(leaving_, true)) return;
+    gone_ = true;
+    stream_->close();
+}
+
 // ---------------------------------------------------------------- what comes
 
 void Visit::begun(std::uint16_t number) {
@@ -153,7 +168,9 @@
         return answer(message.number, well ? "Status: 200 OK\r\n" : "Status: 503 Closing\r\n", well ? "ok\n" : "closing\n");
     }
     if (objection != Objection::none) return object(message.number, objection, message.keep);
-    if (open_.size() >= Bounds{}.open) return object(message.number, Objection::too_many_jobs, message.keep);
+    // Who reads no answers gets no further jobs in.
+    if (open_.size() >= Bounds{}.open || outbox_->pending() > pending_most)
+        return object(message.number, Objection::too_many_jobs, message.keep);
     if (front_.names().count(wanted.name)) return object(message.number, Objection::bad_field, message.keep);
     if (const Objection full = gateway_.door().hold(message.body.size()); full != Objection::none)
         return object(message.number, full, message.keep);
@@ -200,7 +217,7 @@
     const auto time = figure(left, static_cast<double>(rules.longest_left / 1ms));
     if (!time) return left.empty() ? Objection::time_left_absent : Objection::time_left_absurd;
     wanted.left = Time(static_cast<Time::rep>(*time * 1000));
-    if (wanted.left < rules.shortest_left) return Objection::time_left_absurd;
+    if (wanted.left < rules.shortest_left) return Objection::no_time_left;
     if (!again.empty() && again != "0" && again != "1") return Objection::bad_field;
     if (!length.empty() && figure(length, 1e12) != static_cast<double>(message.body.size())) return Objection::bad_field;
     if (!read_tags(tags, wanted)) return Objection::bad_field;
@@ -336,7 +353,8 @@
             begun_.erase(number);
             object(number, Objection::head_too_slow, true);
         }
-    const bool stuck = intake_.in_record() && now - stuck_since_ >= rules.head_within;
+    // A record that does not come whole holds up only what would come behind it: open jobs are answered first.
+    const bool stuck = intake_.in_record() && open_.empty() && now - stuck_since_ >= rules.head_within;
     const bool silent = !spoke_ && open_.empty() && now - last_ >= rules.head_within;
     const bool idle = open_.empty() && !intake_.midway() && now - last_ >= rules.idle_for;
     if (stuck || silent) gateway_.door().count(Objection::head_too_slow);
--- a/src/fastcgi/visit.hpp
+++ b/src/fastcgi/visit.hpp
@@ -29,8 +29,11 @@
     bool idle() const { return !busy() && !leaving_; }
     bool spoke() const { return spoke_; }  // a whole message has come
     net::Time last() const { return last_; }
+    bool unread() { return !leaving_ && stream_->unread(); }  // its client has said something that is not read yet
     // Goes now, once what is pending has left.
     void leave();
+    // The same without waiting for the client: it idles, and its descriptor is needed.
+    void leave_at_once();
 
 private:
     struct Open {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -128,6 +128,10 @@
     see_whether_done();
 }
 
+void Gateway::ends(net::Time at) {
+    feed([&](trace::Watched& it, Time now) { return it.ends(now, at); });
+}
+
 void Gateway::see_whether_done() {
     if (!then_ || door_.open_jobs() > 0) return;
     world_.at(world_.now(), std::exchange(then_, nullptr));
@@ -382,6 +386,7 @@
 void Gateway::count(const Ward& ward) {
     door_.job_left();
     door_.let_go(ward.held);
+    for (const auto& errand : ward.errands) static_cast<Post&>(*errand->hop.invoker).lines->take_back(*errand);
     if (meters_) {
         const Time now = world_.now(), left = ward.hops.empty() ? now : ward.hops.front().sent;
         meters_->job_ended({static_cast<const StatedUseCase*>(ward.use_case)->name, ward.tenant_name, ward.function->name, ward.state, ward.why,
--- a/src/net/memory.cpp
+++ b/src/net/memory.cpp
@@ -72,6 +72,10 @@
         return closed_ || in_->broken || (in_->pieces.empty() && in_->ends <= world_.now());
     }
 
+    bool unread() override {
+        return !closed_ && ((!in_->pieces.empty() && in_->pieces.front().at <= world_.now()) || ended());
+    }
+
     void end_sending() override {
         if (out_->ends != Time::max()) return;
         out_->ends = world_.now() + world_.latency();
@@ -121,6 +125,7 @@
         waiting_.pop_front();
         co_return out;
     }
+    bool waiting() override { return !waiting_.empty(); }
     Address address() const override { return at_; }
     void close() override {
         if (std::exchange(closed_, true)) return;
--- a/src/net/real.cpp
+++ b/src/net/real.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <iterator>
 #include <sstream>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -19,6 +20,11 @@
 using asio::ip::tcp;
 constexpr auto told = asio::as_tuple(asio::use_awaitable);
 
+bool readable(int descriptor) {
+    pollfd look{descriptor, POLLIN, 0};
+    return ::poll(&look, 1, 0) > 0 && (look.revents & POLLIN);
+}
+
 class SocketStream : public Stream {
 public:
     explicit SocketStream(tcp::socket socket) : socket_(std::move(socket)) {
@@ -50,6 +56,8 @@
         return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
     }
 
+    bool unread() override { return socket_.is_open() && readable(socket_.native_handle()); }
+
     void end_sending() override {
         Error ignored;
         socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -80,6 +88,8 @@
         co_return Accepted{{}, std::make_shared<SocketStream>(std::move(socket))};
     }
 
+    bool waiting() override { return acceptor_.is_open() && readable(acceptor_.native_handle()); }
+
     Address address() const override {
         Error error;
         const auto end = acceptor_.local_endpoint(error);
--- a/src/net/world.hpp
+++ b/src/net/world.hpp
@@ -53,6 +53,8 @@
     virtual Task<Error> writable() = 0;
     // Whether the peer's end or a reset can be seen already, without waiting and without taking bytes.
     virtual bool ended() = 0;
+    // Whether bytes or the peer's end have come and are not read yet.
+    virtual bool unread() = 0;
     virtual void end_sending() = 0;
     virtual void close() = 0;  // whoever waits on it is told operation_aborted
     virtual void reset() = 0;  // closes so that the peer sees a reset
@@ -66,6 +68,8 @@
     };
     virtual ~Listener() = default;
     virtual Task<Accepted> accept() = 0;
+    // Whether a connection has come up and is not accepted yet.
+    virtual bool waiting() = 0;
     virtual Address address() const = 0;
     virtual void close() = 0;
 };
