--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -128,10 +128,6 @@
     see_whether_done();
 }
 
-void Gateway::ends(net::Time at) {
-    feed([&](trace::Watched& it, Time now) { return it.ends(now, at); });
-}
-
 void Gateway::see_whether_done() {
     if (!then_ || door_.open_jobs() > 0) return;
     world_.at(world_.now(), std::exchange(then_, nullptr));
--- a/src/platform/host.cpp
+++ b/src/platform/host.cpp
@@ -15,9 +15,10 @@
     : world_(world),
       log_(log),
       config_(config),
+      pool_(world),
       gateway_(world, config.charter, log, config.seed,
                [this](const net::Address& address, gateway::LineCounts& counts) {
-                   return std::make_unique<runline::Lines>(world_, gateway_.charter().lines, config_.sight, address, counts, open_lines_);
+                   return std::make_unique<runline::Lines>(world_, gateway_.charter().lines, config_.sight, address, counts, pool_);
                },
                std::move(recorded)),
       front_(gateway_),
