Probes only as far as their price allows, and for runs overdue by their own expectation

Checked: the deployment's settings as told (aims scaled with the fleet, price in charges.probe); ruled out: reports alone, since the purse gave 0.5 a job at most.

Counting the load into the expectation found silence too late (scenario probe_purse). New scenarios long_runs and probe_price fail without the mend.

--- a/src/charter/charter.cpp
+++ b/src/charter/charter.cpp
@@ -42,7 +42,8 @@
            .longest_retry_after = 2s,
            .keep_alive = 10s,
            .tick = 5ms,
-           .memory_price = 0};
+           .memory_price = 0,
+           .probe_price = 0};
     in.read("call_off", may.call_off);
     in.read("probe", may.probe);
     in.read("second_copies", may.second_copies);
@@ -56,6 +57,7 @@
     in.read("keep_alive", may.keep_alive);
     in.read("tick", may.tick);
     in.read("memory_price", may.memory_price);
+    in.read("probe_price", may.probe_price);
     if (may.tick < 1ms || may.tick > 100ms) in.complain("tick", "is not from 1ms to 100ms");
     if (!may.order_copies && !may.loads_on_demand)
         in.complain("loads_on_demand", "and order_copies are both false: nothing could ever be loaded");
--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -34,7 +34,7 @@
 constexpr double second_home_bias = 1.15;  // a cold second home must be this much better than the first
 constexpr double tie = 0.002;              // seconds
 constexpr double herd_tie = 0.2;           // of a run
-constexpr double assumed_run = 0.15, assumed_load = 1.0, assumed_press = 0.2;  // until something is learned
+constexpr double assumed_part = 0.1, assumed_load = 1.0, assumed_press = 0.2;  // until something is learned
 constexpr double copy_share = 0.45;  // of a load: a further copy beside a standing one needs no fetch
 constexpr double join_share = 0.8;   // of a load's time, after which its jobs stop waiting for its answer
 constexpr Time report_life = 1500ms, report_age = 400ms;
@@ -51,8 +51,10 @@
 constexpr double favourite = 4.0;                     // such a count makes a further copy pay
 
 // Health.
-constexpr Time sweep_period = 250ms, probe_gap = 600ms, quiet_gap = 400ms;
-constexpr double probes_a_job = 0.5, probes_saved = 20;  // and no more, for reports
+constexpr Time sweep_period = 250ms, sweep_slack = 50ms, probe_gap = 600ms, quiet_gap = 400ms;
+constexpr double probes_a_job = 0.5, probes_saved = 40;  // and no more, for reports: saved, from so many jobs
+constexpr double probes_worth = 0.005;  // and of a job's worth no more than this, where probes have a price
+constexpr int rarer = 4;                // an ill invoker is asked in every sweep, and less often while it is silent
 constexpr int misses_aside = 2, cuts_doubted = 2, answers_back = 2, eased = 8, first_ease = 2;
 constexpr Time copies_gone = 3s;   // silent for longer than any stall: its copies are not counted on
 constexpr Time shun = 300ms;       // after it turned a job away
@@ -94,9 +96,9 @@
 
 Controller::Controller(std::uint64_t seed, Rulebook rules, Allowances may)
     : rules_(rules), may_(std::move(may)), dice_(mix(seed + 0x9e3779b97f4a7c15ULL)) {
-    probes_left_ = probes_saved;
+    probes_a_job_ = may_.probe_price > 0 ? std::min(probes_a_job, probes_worth / may_.probe_price) : probes_a_job;
+    probes_left_ = probes_saved * probes_a_job_;
     level_span_ = least_span;
-    run_ = assumed_run;
     load_ = assumed_load;
 }
 
@@ -538,12 +540,13 @@
 Results Controller::take(Time now, Job& job) {
     enter(now);
     Function& function = *job.function;
+    if (run_ == 0) run_ = assumed_part * in_seconds(job.use_case->promised);
     meet(function);
     job.taken = now;
     job.expires = now + job.time_left;
     job.promised = std::min(now + job.use_case->promised, job.expires);
     ++function.jobs;
-    if (!job.again) probes_left_ = std::min(probes_left_ + probes_a_job, probes_saved);
+    if (!job.again) probes_left_ = std::min(probes_left_ + probes_a_job_, probes_saved * probes_a_job_);
     level_ = level_ * std::exp(-in_seconds(now - seen_) / level_span_) + 1;
     seen_ = now;
     function.level = function.level * std::exp(-in_seconds(now - function.seen) / level_span_) + 1;
@@ -842,6 +845,16 @@
     return done();
 }
 
+// Whether it has been silent for longer than its oldest hop was expected to take. Runs of seconds are no sign of
+// trouble: asked all the while, each invoker would be probed by every controller without end (days "+mass": 3
+// probes a job, a quarter of all that was earned).
+bool Controller::overdue(const Invoker& invoker) const {
+    if (invoker.out.empty()) return false;
+    const Hop& oldest = *invoker.out.front();
+    const Time patience = std::max(quiet_gap, span_of(oldest.job->function->run * ratio_at(oldest)));
+    return now_ - std::max(invoker.heard, oldest.sent) > patience;
+}
+
 void Controller::probe(Invoker& invoker) {
     invoker.probing = true;
     invoker.probed = now_;
@@ -965,8 +978,8 @@
         const bool ill = standing == Standing::suspect || standing == Standing::aside;
         const bool quiet = now_ - invoker->heard > quiet_gap;
         const bool rested = now_ - invoker->probed > probe_gap;
-        if (ill ||
-            (quiet && rested && !invoker->out.empty() && now_ - invoker->out.front()->sent > quiet_gap))
+        const bool asked = now_ - invoker->probed < std::clamp(invoker->missed, 1, rarer) * sweep_period - sweep_slack;
+        if ((ill && !asked) || (rested && overdue(*invoker)))
             probe(*invoker);
         else if (rested && (quiet || now_ - invoker->held_at > probe_gap))
             stale.push_back(invoker);
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -70,6 +70,7 @@
     void hear(Invoker& invoker, const Report& report);
     int moved(Invoker& invoker, int change);
     void probe(Invoker& invoker);
+    bool overdue(const Invoker& invoker) const;
     void mistrust(Invoker& invoker, bool certain);
     void answered_well(Invoker& invoker);
     void turned_away(Invoker& invoker, bool stood);
@@ -114,7 +115,7 @@
     double rate_{};          // honoured hops a second for each unit of trusted invokers
     double crowd_{};         // others' jobs for each unit of an invoker, on the mean
     int honoured_lately_{};
-    double probes_left_{};
+    double probes_left_{}, probes_a_job_{};
     double level_{}, level_span_{};  // a fading count of arrivals, and over how many seconds
     Time seen_{};
     double pushed_out_{};              // of the hops to a copy taken to stand, the part that found none
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -64,6 +64,7 @@
     Time keep_alive{};
     Time tick{};
     double memory_price{};
+    double probe_price{};  // in parts of a job's worth; 0: none stated
 };
 
 enum class Ending {
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -41,6 +41,7 @@
     may.loads_on_demand = get<std::string>(family, "if_cold") != "miss";
     may.keep_alive = span(family, "linger_idle");
     may.memory_price = get<double>(family, "memory_price");
+    may.probe_price = get<double>(part(setup, "charges"), "probe");
     may.ask_for_list = get<std::string>(setup, "discovery") == "subscribe";
     may.steady_units = get<std::string>(setup, "weight_source") != "live";
     may.controllers = get<int>(setup, "fleet_size");
--- a/src/trace/told.cpp
+++ b/src/trace/told.cpp
@@ -160,6 +160,14 @@
     void all(T&... values) {
         ((*this)(values), ...);
     }
+    // At the end of a record, of a kind that did without it in earlier traces.
+    template <class T>
+    void added(T& value) {
+        if constexpr (Io::writes)
+            (*this)(value);
+        else if (io.more())
+            (*this)(value);
+    }
 };
 
 template <class Io>
@@ -179,6 +187,7 @@
 template <class Io>
 void body(Io& io, Start& it) {
     io.all(it.name, it.seed, it.rules, it.may, it.use_cases, it.tenants);
+    io.added(it.may.probe_price);
 }
 template <class Io>
 void body(Io& io, Known& it) {
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -150,7 +150,8 @@
         const std::map<std::string, double*> figures = {
             {"cold_share", &rules.cold_share},    {"push_multiple", &rules.push_multiple},
             {"free_loads", &rules.free_loads},    {"loads_per_job", &rules.loads_per_job},
-            {"share_per_s", &tenant.share_per_s}, {"memory_price", &may.memory_price}};
+            {"share_per_s", &tenant.share_per_s}, {"memory_price", &may.memory_price},
+            {"probe_price", &may.probe_price}};
         const std::map<std::string, bool*> flags = {{"call_off", &may.call_off},
                                                     {"probe", &may.probe},
                                                     {"second_copies", &may.second_copies},
