--- a/src/net/memory.cpp
+++ b/src/net/memory.cpp
@@ -22,8 +22,8 @@
 
 class MemoryStream : public Stream {
 public:
-    MemoryStream(MemoryWorld& world, std::shared_ptr<Way> in, std::shared_ptr<Way> out)
-        : world_(world), in_(std::move(in)), out_(std::move(out)) {}
+    MemoryStream(MemoryWorld& world, std::size_t room, std::shared_ptr<Way> in, std::shared_ptr<Way> out)
+        : world_(world), room_(room), in_(std::move(in)), out_(std::move(out)) {}
     ~MemoryStream() override { close(); }
 
     Task<Moved> read(asio::mutable_buffer into) override {
@@ -51,7 +51,7 @@
         if (out_->ends != Time::max()) return {asio::error::broken_pipe, 0};
         std::string bytes;
         for (const auto& part : from) {
-            const std::size_t left = world_.room() - out_->under_way - bytes.size();
+            const std::size_t left = room_ - out_->under_way - bytes.size();
             bytes.append(static_cast<const char*>(part.data()), std::min(left, part.size()));
         }
         const std::size_t n = bytes.size();
@@ -64,7 +64,7 @@
 
     Task<Error> writable() override {
         const auto out = out_;
-        while (!closed_ && !out->broken && out->under_way >= world_.room()) co_await out->room.wait();
+        while (!closed_ && !out->broken && out->under_way >= room_) co_await out->room.wait();
         co_return closed_ ? Error(asio::error::operation_aborted) : Error();
     }
 
@@ -107,6 +107,7 @@
     }
 
     MemoryWorld& world_;
+    const std::size_t room_;
     std::shared_ptr<Way> in_, out_;
     bool closed_{};
 };
@@ -155,8 +156,10 @@
     const auto found = listeners_.find(to.text());
     if (found == listeners_.end()) co_return Connected{asio::error::connection_refused, nullptr};
     auto there = std::make_shared<Way>(*this), back = std::make_shared<Way>(*this);
-    found->second->arrive(std::make_shared<MemoryStream>(*this, there, back));
-    co_return Connected{{}, std::make_shared<MemoryStream>(*this, back, there)};
+    const auto narrow = narrow_.find(to.text());
+    const std::size_t room = narrow == narrow_.end() ? room_ : narrow->second;
+    found->second->arrive(std::make_shared<MemoryStream>(*this, room, there, back));
+    co_return Connected{{}, std::make_shared<MemoryStream>(*this, room, back, there)};
 }
 
 World::Listened MemoryWorld::listen(const Address& at) {
--- a/src/net/memory.hpp
+++ b/src/net/memory.hpp
@@ -27,6 +27,8 @@
     void run(Time until = Time::max());
     Time latency() const { return latency_; }
     std::size_t room() const { return room_; }
+    // Connections to this address that come up from now on hold fewer bytes under way.
+    void narrow(const Address& at, std::size_t room) { narrow_[at.text()] = room; }
 
 private:
     friend class MemoryListener;
@@ -36,6 +38,7 @@
     const std::size_t room_;  // bytes under way one way of a stream
     Time now_{};
     std::map<std::string, MemoryListener*> listeners_;
+    std::map<std::string, std::size_t> narrow_;
     std::uint16_t next_port_ = 40000;
     asio::io_context context_{1};  // ends first: the coroutines that end with it still use the rest
 };
