What has not left moves with its invoker's address; boards are asked again out of step

Seen by reading: a hop on a connection that was coming up still left for an address that the list had just taken from its invoker, where another may be by then (Lines::move_to retired the wire and waited); all controllers that lost the board together came again in step (Board::run, no jitter); an endpoint in 'known' that is no address ended the process (Gateway::fleet_told). Tests force each: a moved address while its connection comes up and under an open hop, eviction and turn-taking in the pool, no patience of 0, a whole list that leaves out an invoker with hops out, a configuration during a drain, the last farewell, and on sockets a backlog and unread bytes as the door closes.

--- a/src/board/board.cpp
+++ b/src/board/board.cpp
@@ -8,7 +8,8 @@
 
 namespace plumkeel::board {
 
-Board::Board(net::World& world, Log& log, Places places, net::Address address, std::uint64_t last, Told told, Patience patience)
+Board::Board(net::World& world, Log& log, Places places, net::Address address, std::uint64_t last, Told told, std::uint64_t seed,
+             Patience patience)
     : world_(world),
       log_(log),
       places_(std::move(places)),
@@ -16,7 +17,8 @@
       order_(last),
       told_(std::move(told)),
       patience_(patience),
-      sooner_(world) {}
+      sooner_(world),
+      chance_(seed) {}
 
 void Board::follow() {
     world_.spawn(run());
@@ -48,7 +50,9 @@
         if (moved_) continue;
         log_.line(Log::Level::warn, "board_lost", {{"why", why}, {"last", order_.last()}});
         const net::Time pause = std::min(patience_.longest_pause, patience_.first_pause * (1 << std::min(lost_++, 6)));
-        auto ticket = world_.at(world_.now() + pause, [this] { sooner_.fire(); });
+        // Hundreds lose it at the same moment: in step, they would all come again at the same moment too.
+        const auto jittered = net::Time(static_cast<net::Time::rep>(static_cast<double>(pause.count()) * (0.5 + chance_.next())));
+        auto ticket = world_.at(world_.now() + jittered, [this] { sooner_.fire(); });
         co_await sooner_.wait();
         world_.drop(ticket);
     }
--- a/src/board/board.hpp
+++ b/src/board/board.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "board/frames.hpp"
+#include "chance/pcg.hpp"
 #include "log/log.hpp"
 #include "net/world.hpp"
 
@@ -21,7 +22,9 @@
 class Board {
 public:
     using Told = std::function<void(const Event&)>;
-    Board(net::World& world, Log& log, Places places, net::Address address, std::uint64_t last, Told told, Patience patience = {});
+    // `seed` sets the pauses of this one apart from those of all other controllers, which lose the board together.
+    Board(net::World& world, Log& log, Places places, net::Address address, std::uint64_t last, Told told, std::uint64_t seed,
+          Patience patience = {});
 
     void follow();  // until the world ends
     // The board has another address; numbers go on.
@@ -47,6 +50,7 @@
     int lost_{};
     bool moved_{};
     net::Signal sooner_;
+    Pcg chance_;
 };
 
 }  // namespace plumkeel::board
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -64,6 +64,9 @@
 
     const json& known = part(config, "known");
     out.known = board::read_known(known);
+    for (const board::Event& event : out.known)
+        for (const fleet::Entry& entry : event.entries)
+            if (!net::Address::parse(entry.address)) throw Fault("field 'endpoint' of 'known': '" + entry.address + "' is no address");
     out.known_to = settings::get<std::uint64_t>(known, "rev");
     if (!out.known.empty()) out.known_to = std::max(out.known_to, out.known.back().number);
 
--- a/src/platform/host.cpp
+++ b/src/platform/host.cpp
@@ -22,7 +22,7 @@
                },
                std::move(recorded)),
       front_(gateway_),
-      board_(world, log, config.places, config.board, config.known_to, [this](const board::Event& event) { told(event); }) {
+      board_(world, log, config.places, config.board, config.known_to, [this](const board::Event& event) { told(event); }, config.seed) {
     gateway_.list_told_by([this] { return board_.told_at(); });
     gateway_.tell_spoilt([this](const std::string& address, const char* why, std::size_t out) {
         log_.line(Log::Level::info, "line_spoilt", {{"invoker", address}, {"why", why}, {"out", out}});
--- a/src/runline/lines.cpp
+++ b/src/runline/lines.cpp
@@ -86,6 +86,16 @@
     std::size_t hops() const {
         return static_cast<std::size_t>(std::count_if(out_.begin(), out_.end(), [](const Placed& p) { return !p.errand->light(); }));
     }
+    // What has not begun to leave, taken off: it goes elsewhere.
+    void give_back(std::vector<std::shared_ptr<Errand>>& into) {
+        std::erase_if(out_, [&](const Placed& placed) {
+            if (placed.whole_at != unwritten) return false;
+            Lines::carrier(*placed.errand).reset();
+            into.push_back(placed.errand);
+            return true;
+        });
+    }
+
     // Hops none of whose bytes has left.
     void unsent(std::vector<std::shared_ptr<Errand>>& into) const {
         for (const Placed& placed : out_)
@@ -369,7 +379,12 @@
 void Lines::move_to(net::Address address) {
     if (address == address_) return;
     address_ = std::move(address);
+    // Another may be at the old address by now, also where a connection to it is still coming up.
+    std::vector<std::shared_ptr<Errand>> unsent;
+    for (const auto& wire : wires_) wire->give_back(unsent);
     close();
+    for (const auto& errand : unsent)
+        if (!carry(errand)) end_soon(errand, Ending::never_sent);
 }
 
 void Lines::close() {
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -3,6 +3,8 @@
 #include <arpa/inet.h>
 #include <sys/socket.h>
 
+#include <set>
+
 #include "net/real.hpp"
 #include "tests/platform_world.hpp"
 
@@ -195,5 +197,258 @@
 INSTANTIATE_TEST_SUITE_P(All, ClientLeavesTest, testing::ValuesIn(leavings()), name_of);
 INSTANTIATE_TEST_SUITE_P(All, FullSocketTest, testing::ValuesIn(leavings()), name_of);
 
+
+// ---------------------------------------------------------------- connections to invokers end, or can't be had
+
+class EndingsTest : public PlatformTest {
+protected:
+    // One of its own connection and function, with a minute's time.
+    void patient_job(Time when, std::uint64_t id) {
+        well.emplace_back(hex16(id), &client(when, {{0ms, job_text(1, id, "work")}}));
+    }
+};
+
+std::string listed(int invokers, const std::string& sockets) {
+    std::string text = replaced(patient(), R"("sockets":256)", R"("sockets":)" + sockets), more;
+    for (int i = 2; i <= invokers; ++i)
+        more += fmt::format(R"(,{{"uid":"s-{:08x}","endpoint":"10.0.0.{}:7001","az":"a","model":"k","pod_group":0,"state":"up","capacity_hint":5,"boot_ms":0}})", i, i);
+    return text.insert(text.find("]}}]}"), more);
+}
+
+// Eight connections for all of twenty invokers: one that idles gives way, and who has none is served all the same.
+TEST_F(EndingsTest, AnInvokerWithoutAConnectionTakesThePlaceOfOneThatIdles) {
+    for (int i = 0; i < 20; ++i) peer();
+    open(listed(20, "64"));
+    for (std::uint64_t i = 1; i <= 300; ++i) job(30ms * static_cast<int>(i), i, hex16(i));
+    world.run(30s);
+    EXPECT_EQ(honoured(), 300u);
+    std::size_t used = 0;
+    for (const auto& each : peers) used += !each->runs.empty();
+    EXPECT_GT(used, 9u);  // more than can be connected at once
+}
+
+// All places taken by connections with something out: the next invoker waits for the first that ends, not for its own
+// time to run out.
+TEST_F(EndingsTest, WithAllConnectionsInUseTheNextOneFreeIsHandedOn) {
+    for (int i = 0; i < 20; ++i) peer({Does::silent});
+    open(listed(20, "64"));
+    std::vector<Client*> all;
+    for (std::uint64_t i = 1; i <= 30; ++i) all.push_back(&client(10ms, {{0ms, job_text(1, i)}}));
+    world.run(200ms);
+    std::size_t open_lines = 0;
+    const std::size_t before = runs();
+    for (const auto& each : peers) open_lines += static_cast<std::size_t>(each->open);
+    ASSERT_EQ(open_lines, 8u);
+    ASSERT_LT(before, 30u);
+    for (const auto& each : peers) {
+        each->script = {Does::answers};
+        for (const auto& run : each->runs) Peer::put(each->streams[0], run.second + " data n=reused 2\r\nok\r\n");
+    }
+    world.run(2s);
+    EXPECT_EQ(runs(), 30u);
+    for (Client* each : all) EXPECT_EQ(each->answer(1).status(), "200");
+}
+
+// The list names another address while the connection to the old one comes up: what has not left goes to the new one,
+// since anybody may be at the old one by now.
+TEST_F(EndingsTest, AnAddressThatMovesWhileItsConnectionComesUpIsNotSpokenTo) {
+    Peer& old = peer();
+    Peer& fresh = peer();
+    Noticeboard board(world, "10.9.0.1");
+    open(patient());
+    world.run(5ms);
+    job(10ms, 1);
+    world.at(10'300us, [&] { board.say(frame(board.last = 2, 2, {{1, "10.0.0.2"}})); });  // told at 10.4; sent at 10.3
+    world.run(2s);
+    EXPECT_TRUE(old.runs.empty());
+    EXPECT_EQ(fresh.runs.size(), 1u);
+    EXPECT_EQ(honoured(), 1u);
+}
+
+// What is out at the old address is awaited there, and nothing new goes to it.
+TEST_F(EndingsTest, WhatIsOutAtAnAddressThatMovesIsAwaitedThere) {
+    Peer& old = peer();
+    Peer& fresh = peer();
+    old.takes = 500ms;
+    Noticeboard board(world, "10.9.0.1");
+    open(patient());
+    patient_job(10ms, 1), patient_job(200ms, 2);
+    world.at(100ms, [&] { board.say(frame(board.last = 2, 2, {{1, "10.0.0.2"}})); });
+    world.run(2s);
+    EXPECT_EQ(old.runs.size(), 1u);
+    EXPECT_EQ(fresh.runs.size(), 1u);
+    EXPECT_EQ(honoured(), 2u);
+    EXPECT_EQ(old.open, 0);
+}
+
+// Its time is nearly up when its connection is there: a hop without a whole millisecond would void the run.
+class SlowNetworkTest : public PlatformTest {
+protected:
+    SlowNetworkTest() : PlatformTest(1ms) {}
+};
+
+TEST_F(SlowNetworkTest, NothingIsSentWithoutTimeLeft) {
+    Peer& only = peer();
+    only.takes = 0ms;
+    open(replaced(patient(), R"("quantum":1.0)", R"("quantum":0.01)"));
+    std::vector<Client*> all;
+    for (int i = 0; i < 12; ++i) {
+        auto fields = job_fields(hex16(static_cast<std::uint64_t>(i + 1)), hex16(static_cast<std::uint64_t>(i + 1)));
+        fields[2].second = fmt::format("{:.1f}", 1.5 + 0.2 * i);
+        all.push_back(&client(10ms + 50ms * i, {{0ms, message(1, fields)}}));
+    }
+    world.run(3s);
+    EXPECT_GT(only.connections, 0);
+    for (Client* each : all) EXPECT_EQ(each->answer(1).times, 1);  // TearDown sees to the patience of what was sent
+}
+
+// An invoker that goes, with its machine silent: its hop's time is not waited for where another may run the job.
+TEST_F(EndingsTest, AConnectionResetUnderAJobThatMayRunAgainSendsItOn) {
+    Peer& a = peer({Does::resets, Does::answers});
+    Peer& b = peer({Does::resets, Does::answers});
+    open();
+    job(10ms, 1);
+    world.run(3s);
+    EXPECT_EQ(honoured(), 1u);
+    EXPECT_EQ(a.runs.size() + b.runs.size(), 2u);
+}
+
+// ---------------------------------------------------------------- the list ends
+
+// A whole list that leaves out an invoker with a hop out: the hop is awaited, and nothing new goes there.
+TEST_F(EndingsTest, AWholeListWithoutAnInvokerLeavesItsOpenHopsAlone) {
+    Peer& a = peer();
+    Peer& b = peer();
+    a.takes = b.takes = 300ms;
+    Noticeboard board(world, "10.9.0.1");
+    open(listed(2, "256"));
+    for (std::uint64_t i = 1; i <= 40; ++i) patient_job(10ms * static_cast<int>(i), i);
+    world.at(200ms, [&] { board.say(frame(board.last = 2, 1, {{2, "10.0.0.2"}})); });
+    world.run(5s);
+    EXPECT_EQ(honoured(), 40u);
+    EXPECT_GT(a.runs.size(), 0u);
+    for (const auto& [at, id] : a.runs) EXPECT_LE(at, 201ms) << id;
+}
+
+// Thirty controllers lose the board at the same moment: they don't come again in step.
+TEST_F(EndingsTest, ControllersThatLoseTheBoardTogetherDoNotReturnInStep) {
+    Config told = read_config(file_of(plain_config));
+    told.charter.log.file = "/dev/null";
+    Log quiet(world, told.charter.log);
+    auto board = std::make_unique<Noticeboard>(world, "10.9.0.1");
+    std::vector<std::unique_ptr<board::Board>> all;
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        all.push_back(std::make_unique<board::Board>(world, quiet, told.places, told.board, 1, [](const board::Event&) {}, seed));
+        all.back()->follow();
+    }
+    world.run(500ms);
+    ASSERT_EQ(board->asked.size(), 30u);
+    board->listener->close();
+    for (const auto& stream : board->held) stream->close();
+    world.run(2s);
+    Noticeboard again(world, "10.9.0.1");
+    world.run(3500ms);  // the longest pause is 1.2 s; those that hear nothing here come again later
+    ASSERT_EQ(again.asked.size(), 30u);
+    std::set<Time> moments;
+    for (const auto& [at, number] : again.asked) moments.insert(at);
+    EXPECT_GE(moments.size(), 20u);
+}
+
+// ---------------------------------------------------------------- the process ends
+
+// The board's address moves after the word to end: nothing is lost, and the process ends as it would.
+TEST_F(EndingsTest, ANewConfigurationDuringADrainChangesNothingOfIt) {
+    peer(), peer();
+    Noticeboard old(world, "10.9.0.1"), fresh(world, "10.9.0.2");
+    open();
+    for (std::uint64_t i = 1; i <= 160; ++i) job(10ms * static_cast<int>(i), i, hex16(i));
+    Time ended{};
+    world.at(1s, [&] { host->end([&] { ended = world.now(); }); });
+    world.at(1200ms, [&] { host->reconfigured(read_config(file_of(replaced(plain_config, "10.9.0.1", "10.9.0.2")))); });
+    world.at(1300ms, [&] { host->end([] { FAIL() << "ended twice"; }); });
+    world.run(10s);
+    EXPECT_EQ(honoured(), 160u);
+    EXPECT_GE(ended, 1800ms);
+    EXPECT_LT(ended, 4s);
+    EXPECT_EQ(fresh.asked.size(), 1u);
+}
+
+// The word to end is carried out only when the last connection has taken leave: an end of the process resets what its
+// client has not read.
+TEST_F(EndingsTest, TheProcessEndsOnlyAfterItsLastFarewell) {
+    peer(), peer();
+    open();
+    for (std::uint64_t i = 1; i <= 20; ++i) job(10ms * static_cast<int>(i), i);
+    int connections = -1;
+    world.at(300ms, [&] {
+        host->end([&] { connections = host->gateway().status().at("door").at("connections").to_number<int>(); });
+    });
+    world.run(10s);
+    EXPECT_EQ(honoured(), 20u);
+    EXPECT_EQ(connections, 0);
+}
+
+// On sockets: five connections come up, each with a whole job, and an open one gets another, all while the process
+// stands still; then its door closes. None was accepted or read before, and all are owed their answers.
+TEST(ProcessEnds, WhatStandsInTheBacklogAndInSocketBuffersIsAnswered) {
+    const std::string own = fmt::format("127.{}.{}.", 64 + (::getpid() >> 8) % 64, ::getpid() & 255);
+    std::string text = patient();
+    for (const auto& [from, to] : std::map<std::string, std::string>{{"10.1.0.1", own + "1"}, {"10.9.0.1", own + "9"}, {"10.0.0.1", own + "11"}})
+        text = replaced(text, from, to);
+    Config config = read_config(file_of(text));
+    config.charter.log.file = "/dev/null";
+    net::RealWorld world;
+    Log log(world, config.charter.log);
+    Peer invoker(world, own + "11", {Does::answers});
+    auto host = std::make_unique<Host>(world, config, log);
+    ASSERT_FALSE(host->open());
+
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(7001);
+    ASSERT_EQ(::inet_pton(AF_INET, (own + "1").c_str(), &to.sin_addr), 1);
+    std::vector<int> clients;
+    const auto connect = [&] {
+        clients.push_back(::socket(AF_INET, SOCK_STREAM, 0));
+        const timeval limit{10, 0};
+        ::setsockopt(clients.back(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        EXPECT_EQ(::connect(clients.back(), reinterpret_cast<const sockaddr*>(&to), sizeof to), 0);
+    };
+    const auto say = [&](std::size_t client, std::uint64_t id) {
+        const std::string job = job_text(1, id, "work");
+        EXPECT_EQ(::send(clients[client], job.data(), job.size(), MSG_NOSIGNAL), static_cast<ssize_t>(job.size()));
+    };
+    connect();
+    say(0, 1);
+    bool ended = false;
+    Time closes{};
+    world.at(world.now() + 200ms, [&] {
+        closes = world.now() + 800ms;
+        host->end([&] {
+            ended = true;
+            world.stop();
+        });
+        world.at(closes - 5ms, [&] {
+            for (std::size_t i = 1; i <= 5; ++i) connect(), say(i, 10 + i);
+            say(0, 2);
+            while (world.now() < closes + 5ms) {
+            }
+        });
+    });
+    world.at(20s, [&] { world.stop(); });
+    world.run();
+    EXPECT_TRUE(ended);
+    for (std::size_t i = 0; i < clients.size(); ++i) {
+        std::string got;
+        char room[4096];
+        for (ssize_t n; (n = ::recv(clients[i], room, sizeof room, 0)) > 0;) got.append(room, static_cast<std::size_t>(n));
+        const auto all = answers(got);
+        ASSERT_TRUE(all && all->count(1)) << "client " << i << " got " << got.size() << " bytes";
+        EXPECT_EQ(all->at(1).times, i == 0 ? 2 : 1);
+        EXPECT_EQ(all->at(1).body().find("made for "), 0u) << all->at(1).text;
+        ::close(clients[i]);
+    }
+}
+
 }  // namespace
 }  // namespace plumkeel::platform
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -213,7 +213,7 @@
         Config told = read_config(file_of(plain_config));
         told.charter.log.file = "/dev/null";
         Log quiet(own, told.charter.log);
-        board::Board it(own, quiet, told.places, told.board, 1, [](const board::Event&) {});
+        board::Board it(own, quiet, told.places, told.board, 1, [](const board::Event&) {}, 7);
         it.follow();
         own.run(500ms);
         board.say(bad);
--- a/tests/platform_world.hpp
+++ b/tests/platform_world.hpp
@@ -52,7 +52,7 @@
 
 // An invoker as a test scripts it: what it does with its nth hop; the last holds for all further ones.
 struct Peer {
-    net::MemoryWorld& world;
+    net::World& world;
     std::shared_ptr<net::Listener> listener;
     std::vector<Does> script;
     Time takes = 20ms;
@@ -63,7 +63,7 @@
     std::vector<std::string> stops, odd;
     int connections{}, open{};
 
-    Peer(net::MemoryWorld& w, const std::string& host, std::vector<Does> does)
+    Peer(net::World& w, const std::string& host, std::vector<Does> does)
         : world(w), listener(w.listen({host, 7001}).listener), script(std::move(does)) {
         world.spawn(accept());
     }
@@ -143,12 +143,12 @@
 
 // A web server's connection: sends texts at their times and reads all that comes.
 struct Client {
-    net::MemoryWorld& world;
+    net::World& world;
     std::string got;
     Time connected{}, last{}, ended = Time::max();
     std::shared_ptr<net::Stream> stream;
 
-    Client(net::MemoryWorld& w, Time when, std::vector<std::pair<Time, std::string>> texts, bool reads = true) : world(w) {
+    Client(net::World& w, Time when, std::vector<std::pair<Time, std::string>> texts, bool reads = true) : world(w) {
         world.spawn(run(when, std::move(texts), reads));
     }
     Task<> run(Time when, std::vector<std::pair<Time, std::string>> texts, bool reads) {
@@ -186,14 +186,15 @@
 
 // The notice board: notes what it is asked for, and sends what the test tells it.
 struct Noticeboard {
-    net::MemoryWorld& world;
+    net::World& world;
     std::shared_ptr<net::Listener> listener;
     std::vector<std::pair<Time, std::uint64_t>> asked;
     std::shared_ptr<net::Stream> stream;
+    std::vector<std::shared_ptr<net::Stream>> held;  // all that asked
     std::uint64_t last = 1;
     bool beats = true;
 
-    Noticeboard(net::MemoryWorld& w, const std::string& host) : world(w), listener(w.listen({host, 2379}).listener) {
+    Noticeboard(net::World& w, const std::string& host) : world(w), listener(w.listen({host, 2379}).listener) {
         world.spawn(accept());
         world.spawn(beat());
     }
@@ -212,6 +213,7 @@
             for (const char c : got) number = number << 8 | static_cast<unsigned char>(c);
             asked.emplace_back(world.now(), number);
             stream = accepted.stream;
+            held.push_back(stream);
         }
     }
     Task<> beat() {
