A controller with much of the traffic no longer takes all others for as busy

Checked by the state lines of all 150 logs; ruled out: the invokers, which held few jobs by their reports, and the tenants' true use. Now reports say how many of others' jobs there are for each own one, where that is fewer; and a tenant has to be over its share as a part of the jobs too.

--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -37,6 +37,8 @@
 constexpr double assumed_part = 0.1, assumed_load = 1.0, assumed_press = 0.2;  // until something is learned
 constexpr double copy_share = 0.45;  // of a load: a further copy beside a standing one needs no fetch
 constexpr double join_share = 0.8;   // of a load's time, after which its jobs stop waiting for its answer
+constexpr double report_gain = 0.02;  // what one report tells of the whole fleet, once there were a few
+constexpr int few_reports = 20;
 constexpr Time report_life = 1500ms, report_age = 400ms;
 constexpr int herd = 3;
 constexpr double kind_gain = 0.003;  // the least that one run teaches of a kind
@@ -54,7 +56,7 @@
 constexpr Time sweep_period = 250ms, sweep_slack = 50ms, probe_gap = 600ms, quiet_gap = 400ms;
 constexpr double probes_a_job = 0.5, probes_saved = 40;  // and no more, for reports: saved, from so many jobs
 constexpr double probes_worth = 0.005;  // and of a job's worth no more than this, where probes have a price
-constexpr int rarer = 4;                // an ill invoker is asked in every sweep, and less often while it is silent
+constexpr int rarer = 4;  // an ill invoker is asked in every sweep, and less often while it is silent
 constexpr int misses_aside = 2, cuts_doubted = 2, answers_back = 2, eased = 8, first_ease = 2;
 constexpr Time copies_gone = 3s;   // silent for longer than any stall: its copies are not counted on
 constexpr Time shun = 300ms;       // after it turned a job away
@@ -96,7 +98,8 @@
 
 Controller::Controller(std::uint64_t seed, Rulebook rules, Allowances may)
     : rules_(rules), may_(std::move(may)), dice_(mix(seed + 0x9e3779b97f4a7c15ULL)) {
-    probes_a_job_ = may_.probe_price > 0 ? std::min(probes_a_job, probes_worth / may_.probe_price) : probes_a_job;
+    probes_a_job_ = probes_a_job;
+    if (may_.probe_price > 0) probes_a_job_ = std::min(probes_a_job, probes_worth / may_.probe_price);
     probes_left_ = probes_saved * probes_a_job_;
     level_span_ = least_span;
     load_ = assumed_load;
@@ -554,9 +557,14 @@
     if (rules_.load_span > Time{}) taken_.push_back(now);
     if (job.tenant && job.tenant->share_per_s > 0) {
         Tenant& tenant = *job.tenant;
+        if (tenant.level == 0) shares_ += tenant.share_per_s;  // met for the first time
         tenant.level = tenant.level * std::exp(-in_seconds(now - tenant.seen) / level_span_) + 1;
         tenant.seen = now;
-        job.over_share = tenant.level / level_span_ * may_.controllers > over_share * tenant.share_per_s;
+        // Over its share of all jobs as well as by their number: a controller that sees several times the
+        // mean of the traffic would take every tenant to be over its share.
+        const double part = tenant.level * shares_ / std::max(level_, 1.0);
+        const double number = tenant.level / level_span_ * may_.controllers;
+        job.over_share = std::min(part, number) > over_share * tenant.share_per_s;
     }
     place(job);
     return done();
@@ -758,6 +766,19 @@
     const double others = std::max(0.0, *invoker.held - invoker.out_then);
     if (first) invoker.usual = crowd_ * invoker.units;
     invoker.usual += 0.3 * (others - invoker.usual);
+    if (invoker.units <= 0) return;
+    const double gain = std::max(report_gain, 1.0 / ++reports_);
+    told_others_ += gain * (others / invoker.units - told_others_);
+    told_own_ += gain * (own_crowd_ - told_own_);
+}
+
+// How many of others' jobs there are for each own one. By the number of controllers, but where reports tell
+// of fewer: one that sees several times the mean of the traffic would take all others for as busy as itself, and
+// shed what they have room for (day "calm+mass": a fifth of the controllers refused a quarter of their jobs,
+// the rest one in a hundred).
+double Controller::others_a_job() const {
+    if (reports_ < few_reports || told_own_ <= 0) return may_.controllers - 1;
+    return std::min(told_others_ / told_own_, may_.controllers - 1.0);
 }
 
 // Notes what was sent or ended; returns the sum of it over the age of a report.
@@ -845,9 +866,9 @@
     return done();
 }
 
-// Whether it has been silent for longer than its oldest hop was expected to take. Runs of seconds are no sign of
-// trouble: asked all the while, each invoker would be probed by every controller without end (days "+mass": 3
-// probes a job, a quarter of all that was earned).
+// Whether it has been silent for longer than its oldest hop was expected to take. Runs of seconds are no sign
+// of trouble: asked all the while, each invoker would be probed by every controller without end (days
+// "+mass": 3 probes a job, a quarter of all that was earned).
 bool Controller::overdue(const Invoker& invoker) const {
     if (invoker.out.empty()) return false;
     const Hop& oldest = *invoker.out.front();
@@ -978,7 +999,8 @@
         const bool ill = standing == Standing::suspect || standing == Standing::aside;
         const bool quiet = now_ - invoker->heard > quiet_gap;
         const bool rested = now_ - invoker->probed > probe_gap;
-        const bool asked = now_ - invoker->probed < std::clamp(invoker->missed, 1, rarer) * sweep_period - sweep_slack;
+        const Time pause = std::clamp(invoker->missed, 1, rarer) * sweep_period - sweep_slack;
+        const bool asked = now_ - invoker->probed < pause;
         if ((ill && !asked) || (rested && overdue(*invoker)))
             probe(*invoker);
         else if (rested && (quiet || now_ - invoker->held_at > probe_gap))
@@ -996,7 +1018,10 @@
     if (units > 0) rate_ += 0.1 * (honoured_lately_ / in_seconds(sweep_period) / units - rate_);
     honoured_lately_ = 0;
     level_span_ = std::clamp(level_jobs * level_span_ / std::max(level_, 1.0), least_span, most_span);
-    if (seen_units > 0) crowd_ += 0.1 * (outs * (may_.controllers - 1) / seen_units - crowd_);
+    if (seen_units > 0) {
+        own_crowd_ += 0.1 * (outs / seen_units - own_crowd_);
+        crowd_ = own_crowd_ * others_a_job();
+    }
 
     if (may_.order_copies && may_.memory_price > 0)
         for (Function* function : functions_) unload_spare(*function);
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -94,6 +94,7 @@
     double load_time(const Function& function) const;
     double pace_of(const Invoker& invoker) const { return invoker.kind->pace * invoker.pace; }
     double press_of(const Invoker& invoker) const { return invoker.kind->press * invoker.press; }
+    double others_a_job() const;
     double crowd_at(const Invoker& invoker) const;
     double chance();
 
@@ -109,6 +110,9 @@
     std::map<Ticket, Due> due_;
     std::uint64_t tickets_{};
     Time sweep_at_{}, back_at_{};
+    double own_crowd_{};               // own jobs for each unit of an invoker, on the mean
+    double told_own_{}, told_others_{};  // means of that and of others' jobs, when reports came
+    int reports_{};
     bool doubting_{};  // nearly all invokers look bad: the judgement is doubted, not the fleet
     std::size_t parked_{};
     double run_{}, load_{};  // learned over all functions, in seconds
@@ -118,6 +122,7 @@
     double probes_left_{}, probes_a_job_{};
     double level_{}, level_span_{};  // a fading count of arrivals, and over how many seconds
     Time seen_{};
+    double shares_{};  // of all tenants met, in jobs a second
     double pushed_out_{};              // of the hops to a copy taken to stand, the part that found none
     int list_{};                       // how often the list has changed
     std::deque<Time> taken_, orders_;  // kept for the ration only
--- a/tests/scenarios.cpp
+++ b/tests/scenarios.cpp
@@ -4,7 +4,7 @@
 //   list a b c/draining d/started=1000           the full list;  change ...: only these entries
 //   take JOB FUNCTION [left=MS] [lanes=N] [again=yes]   a job arrives
 //   end JOB HOP ENDING [NOTE] [company=N]         a hop ends, by its number
-//   probe INVOKER ok|silent                       a probe's answer
+//   probe INVOKER ok|silent [held=N]              a probe's answer
 //   load FUNCTION INVOKER ENDING [copies=N]       an order's answer
 //   leave JOB                                     the client gives up
 //   to MS                                         time passes, with all wakings due until then
@@ -317,7 +317,9 @@
             note(it().hop_ended(now, job(w[1]).hops[index], word(endings, w.at(3)), told,
                                 company.empty() ? 0 : static_cast<int>(number(company)), {}));
         } else if (verb == "probe") {
-            note(it().probe_answered(now, invoker(w.at(1)), w.at(2) == "ok", {}));
+            Report report;
+            if (const std::string held = option(w, "held"); !held.empty()) report.held = number(held);
+            note(it().probe_answered(now, invoker(w.at(1)), w.at(2) == "ok", report));
         } else if (verb == "load") {
             const std::string copies = option(w, "copies");
             note(it().load_answered(now, *functions.at(w.at(1)), invoker(w.at(2)), word(endings, w.at(3)),
