--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -773,9 +773,9 @@
 }
 
 // How many of others' jobs there are for each own one. By the number of controllers, but where reports tell
-// of fewer: one that sees several times the mean of the traffic would take all others for as busy as itself, and
-// shed what they have room for (day "calm+mass": a fifth of the controllers refused a quarter of their jobs,
-// the rest one in a hundred).
+// of fewer: one that sees several times the mean of the traffic would take all others for as busy as itself,
+// and shed what they have room for (day "calm+mass": a fifth of the controllers refused a quarter of their
+// jobs, the rest one in a hundred).
 double Controller::others_a_job() const {
     if (reports_ < few_reports || told_own_ <= 0) return may_.controllers - 1;
     return std::min(told_others_ / told_own_, may_.controllers - 1.0);
