A client's idempotency key goes on with each attempt; a deduplicated class needs one

At fault: Visit::understand read no such field and runline::run wrote none. A key is checked like all that goes on to invokers.

--- a/src/fastcgi/visit.cpp
+++ b/src/fastcgi/visit.cpp
@@ -28,6 +28,11 @@
     });
 }
 
+// What may stand as a value among an invoker's fields.
+bool key_word(std::string_view text) {
+    return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~' && c != ',' && c != '='; });
+}
+
 std::optional<double> figure(std::string_view text, double most) {
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
@@ -191,11 +196,12 @@
 Objection Visit::understand(const Message& message, Wanted& wanted) const {
     const auto fields = pairs(message.params);
     if (!fields) return Objection::malformed;
-    std::string_view path, name, key, tenant, left, tags, again, length;
+    std::string_view path, name, key, tenant, left, tags, again, length, once;
     const std::pair<std::string_view, std::string_view*> known[] = {
         {"SCRIPT_NAME", &path},          {"HTTP_REQUEST_ID", &name},       {"HTTP_RESOURCE_KEY", &key},
         {"HTTP_ACCOUNT", &tenant},       {"HTTP_BUDGET_MS", &left},        {"HTTP_X_TAGS", &tags},
-        {"HTTP_ATTEMPT_AGAIN", &again},  {"CONTENT_LENGTH", &length}};
+        {"HTTP_ATTEMPT_AGAIN", &again},  {"CONTENT_LENGTH", &length},
+        {"HTTP_ONCE_KEY", &once}};
     for (const auto& [field, value] : *fields)
         for (const auto& [word, slot] : known)
             if (field == word) {
@@ -214,6 +220,9 @@
     if (!hex_digits(key)) return Objection::bad_function;
     if (!charter.tenants.empty() && !charter.tenants.count(std::string(tenant))) return Objection::bad_field;
     const auto& rules = gateway_.door().rules();
+    // An invoker that deduplicates tells repeats by this key: without it a second attempt would take effect twice.
+    if (use->second.repeat == Repeat::referenced && once.empty()) return Objection::mark_missing;
+    if (!key_word(once) || once.size() > rules.name_bytes) return Objection::bad_field;
     const auto time = figure(left, static_cast<double>(rules.longest_left / 1ms));
     if (!time) return left.empty() ? Objection::time_left_absent : Objection::time_left_absurd;
     wanted.left = Time(static_cast<Time::rep>(*time * 1000));
@@ -224,6 +233,7 @@
     wanted.again = again == "1";
     wanted.name = name;
     wanted.function = key;
+    wanted.mark = once;
     wanted.tenant = tenant;
     return Objection::none;
 }
--- a/src/runline/lines.cpp
+++ b/src/runline/lines.cpp
@@ -142,7 +142,7 @@
             outbox_->send(probe(placed.id, !lines_.sight_.report_fields.empty()));
         } else {
             const gateway::Ward& ward = *errand.ward;
-            outbox_->send(run(placed.id, static_cast<const StatedUseCase*>(ward.use_case)->name, ward.function->name,
+            outbox_->send(run(placed.id, static_cast<const StatedUseCase*>(ward.use_case)->name, ward.function->name, ward.mark,
                               (errand.until - world_.now()) / 1ms, ward.body->size()),
                           ward.body);
             outbox_->send(std::string(body_end));
--- a/src/runline/words.cpp
+++ b/src/runline/words.cpp
@@ -42,10 +42,10 @@
 
 }  // namespace
 
-std::string run(std::string_view id, std::string_view use_case, std::string_view function, std::int64_t patience_ms,
-                std::size_t body_bytes) {
-    return fmt::format("RUN {} sort={},asset={},patience={} {}\r\n", id, use_case, function, std::max<std::int64_t>(1, patience_ms),
-                       body_bytes);
+std::string run(std::string_view id, std::string_view use_case, std::string_view function, std::string_view idempotency_key,
+                std::int64_t patience_ms, std::size_t body_bytes) {
+    return fmt::format("RUN {} sort={},asset={}{}{},patience={} {}\r\n", id, use_case, function, idempotency_key.empty() ? "" : ",op=",
+                       idempotency_key, std::max<std::int64_t>(1, patience_ms), body_bytes);
 }
 
 std::string stop(std::string_view id) {
--- a/src/runline/words.hpp
+++ b/src/runline/words.hpp
@@ -11,9 +11,10 @@
 
 namespace plumkeel::runline {
 
-// Ids, use cases and functions must hold no space, comma, equals sign or line end: the clients' edge sees to it.
-std::string run(std::string_view id, std::string_view use_case, std::string_view function, std::int64_t patience_ms,
-                std::size_t body_bytes);
+// Ids, use cases, functions and keys must hold no space, comma, equals sign or line end: the clients' edge sees to it.
+// The idempotency key of a request that has none is empty.
+std::string run(std::string_view id, std::string_view use_case, std::string_view function, std::string_view idempotency_key,
+                std::int64_t patience_ms, std::size_t body_bytes);
 std::string stop(std::string_view id);
 std::string probe(std::string_view tag, bool with_report);
 constexpr std::string_view body_end = "\r\n";
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -121,6 +121,31 @@
     EXPECT_EQ(other.answer(1).status(), "400");
 }
 
+// Another customer's class is deduplicated by a key: each attempt bears its client's, unchanged, and none leaves without.
+TEST_F(PlatformTest, AnIdempotencyKeyGoesOnUnchangedWithEachAttempt) {
+    peer({Does::resets, Does::answers}), peer({Does::resets, Does::answers});
+    open(replaced(plain_config, R"("semantics":"retryable")", R"("semantics":"dedup")"));
+    const auto with = [](std::uint64_t id, const std::string& key) {
+        auto fields = job_fields(hex16(id), hex16(0xf));
+        if (!key.empty()) fields.emplace_back("HTTP_ONCE_KEY", key);
+        return message(1, fields, "work");
+    };
+    Client& good = client(10ms, {{0ms, with(1, "5c242d41-3cff")}});
+    const std::vector<std::string> bad{"", "a,b", "a=b", "a b", "a\r\nSTOP 1", std::string(300, 'k')};
+    std::vector<Client*> turned;
+    for (std::size_t i = 0; i < bad.size(); ++i) turned.push_back(&client(20ms, {{0ms, with(10 + i, bad[i])}}));
+    world.run(5s);
+    EXPECT_EQ(good.answer(1).body(), Peer::body_for(hex16(1)));
+    std::size_t attempts = 0;
+    for (const auto& each : peers)
+        for (const std::string& line : each->lines) {
+            ++attempts;
+            EXPECT_NE(line.find(",op=5c242d41-3cff,"), std::string::npos) << line;
+        }
+    EXPECT_EQ(attempts, 2u);
+    for (Client* each : turned) EXPECT_EQ(each->answer(1).status(), "400");
+}
+
 TEST_F(PlatformTest, ATakenBackJobIsStoppedAndItsNumberFree) {
     Peer& a = peer({Does::silent, Does::answers});
     Peer& b = peer({Does::silent, Does::answers});
--- a/tests/platform_world.hpp
+++ b/tests/platform_world.hpp
@@ -60,7 +60,7 @@
     Time reads_from{};  // nothing is read before
     std::vector<std::shared_ptr<net::Stream>> streams;  // as they came up
     std::vector<std::pair<Time, std::string>> runs;  // when they had come whole, and their ids
-    std::vector<std::string> stops, odd;
+    std::vector<std::string> stops, odd, lines;  // `lines`: those of the runs
     int connections{}, open{};
 
     Peer(net::World& w, const std::string& host, std::vector<Does> does)
@@ -92,6 +92,7 @@
                 const std::string line = got.substr(0, end);
                 std::string body;
                 if (line.starts_with("RUN ")) {
+                    if (got.size() >= end + 2 + std::stoul(line.substr(line.rfind(' ') + 1)) + 2) lines.push_back(line);
                     if (line.find("patience=0") != std::string::npos || line.find("patience=-") != std::string::npos) odd.push_back(line);
                     const std::size_t length = std::stoul(line.substr(line.rfind(' ') + 1));
                     if (got.size() < end + 2 + length + 2) break;
