Tests of descriptors used up while the board is away, and of the work to be ready

On sockets, in processes of their own: 400 idle clients at a limit of 256 with 120 invokers listed and no board; health answered throughout, the board found when it is back, under a second of a core used.

--- a/tests/platform_signals_test.cpp
+++ b/tests/platform_signals_test.cpp
@@ -1,7 +1,8 @@
 // The platform's program on real sockets, in a process of its own: health, a damaged and a good new configuration,
-// the word to end, and a restart under the same address.
+// the word to end, a restart under the same address, descriptors used up, and what it takes to be ready.
 #include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -29,9 +30,11 @@
 struct Listening {
     int fd = ::socket(AF_INET, SOCK_STREAM, 0);
     std::uint16_t port{};
-    Listening() {
-        sockaddr_in at = local(0);
+    explicit Listening(std::uint16_t wanted = 0) {
+        sockaddr_in at = local(wanted);
         socklen_t size = sizeof at;
+        const int again = 1;
+        ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &again, sizeof again);
         EXPECT_EQ(::bind(fd, reinterpret_cast<sockaddr*>(&at), size), 0);
         EXPECT_EQ(::listen(fd, 8), 0);
         ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
@@ -78,17 +81,31 @@
     return at_status == std::string::npos ? "" : got.substr(at_status + 8, 3);
 }
 
-void write_config(const std::string& file, std::uint16_t port, std::uint16_t board) {
+void write_config(const std::string& file, std::uint16_t port, std::uint16_t board, int invokers = 0) {
+    std::string targets;
+    for (int i = 1; i <= invokers; ++i)
+        targets += fmt::format(R"({}{{"uid":"s-{:08x}","endpoint":"127.0.0.1:9","state":"up","capacity_hint":5,"boot_ms":0}})", i > 1 ? "," : "", i);
+    const std::string notices = invokers ? R"({"rev":6,"pool":{"rev":6,"all":true,"targets":[)" + targets + "]}}" : "";
     std::ofstream(file) << R"({"name":"n1","listen":"127.0.0.1:)" << port << R"(","seed":"ab","board":"127.0.0.1:)" << board
-                        << R"(","limits":{"cores":1,"memory_mb":48,"sockets":256},"known":{"rev":6,"notices":[]},)"
+                        << R"(","limits":{"cores":1,"memory_mb":48,"sockets":256},"known":{"rev":6,"notices":[)" << notices << "]},"
                         << R"("settings":{"classes":[{"name":"p","aim":800,"deadline":3000,"semantics":"retryable"}],"quantum":1,)"
                         << R"("limits":{"send_cap":5},"fleet_size":1}})";
 }
 
-pid_t start(const std::string& file) {
+pid_t start(const std::string& file, rlim_t descriptors = 0) {
     const pid_t child = ::fork();
-    if (child == 0) _exit(serve(file, "error"));
-    return child;
+    if (child) return child;
+    if (const rlimit few{descriptors, descriptors}; descriptors) ::setrlimit(RLIMIT_NOFILE, &few);
+    _exit(serve(file, "error"));
+}
+
+// Seconds of a core that it has used, once killed.
+double killed(pid_t child) {
+    ::kill(child, SIGKILL);
+    rusage used{};
+    EXPECT_EQ(::wait4(child, nullptr, 0, &used), child);
+    return static_cast<double>(used.ru_utime.tv_sec + used.ru_stime.tv_sec) +
+           static_cast<double>(used.ru_utime.tv_usec + used.ru_stime.tv_usec) / 1e6;
 }
 
 bool comes(std::uint16_t port) {
@@ -129,5 +146,40 @@
     ::waitpid(second, &status, 0);
 }
 
+// Idle clients take all descriptors that they can get, more than the limit, while nobody answers for the board. Whoever
+// says something is served all the same, the board is found when it is back, and nothing spins meanwhile.
+TEST(PlatformDescriptors, IdleClientsDoNotKeepOutClientsOrTheBoard) {
+    const std::string file = testing::TempDir() + "/descriptors_config.json";
+    const std::uint16_t port = free_port(), board_port = free_port();
+    write_config(file, port, board_port, 120);
+    const pid_t child = start(file, 256);
+    ASSERT_TRUE(comes(port));
+    std::vector<int> idle;
+    const sockaddr_in at = local(port);
+    for (int i = 0; i < 400; ++i) {
+        idle.push_back(::socket(AF_INET, SOCK_STREAM, 0));
+        ASSERT_EQ(::connect(idle.back(), reinterpret_cast<const sockaddr*>(&at), sizeof at), 0);
+    }
+    for (int i = 0; i < 20; ++i) EXPECT_EQ(health(port), "200") << i;
+    const Listening board(board_port);
+    EXPECT_EQ(board.asked(), std::string("\0\0\0\0\0\0\0\6", 8));
+    EXPECT_EQ(health(port), "200");
+    for (const int each : idle) ::close(each);
+    EXPECT_LT(killed(child), 1.0);
+}
+
+// Ready within 10 s at a tenth of a core: whatever the machine does meanwhile, so much work at most, with 120 invokers
+// listed and nobody there for the board.
+TEST(PlatformReady, TakesLessThanASecondOfACore) {
+    const std::string file = testing::TempDir() + "/ready_config.json";
+    const std::uint16_t port = free_port();
+    write_config(file, port, free_port(), 120);
+    const pid_t child = start(file);
+    EXPECT_TRUE(comes(port));
+    const double used = killed(child);
+    RecordProperty("cpu_ms", static_cast<int>(used * 1000));
+    EXPECT_LT(used, 1.0);
+}
+
 }  // namespace
 }  // namespace plumkeel::platform
