--- a/src/door/door.cpp
+++ b/src/admission/admission.cpp
@@ -1,4 +1,4 @@
-#include "door/door.hpp"
+#include "admission/admission.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -41,17 +41,17 @@
     return answers[static_cast<std::size_t>(objection)];
 }
 
-Objection Door::connection_came() {
+Objection Admission::connection_came() {
     if (connections_ >= rules_.connections) return Objection::too_many_connections;
     ++connections_;
     return Objection::none;
 }
 
-void Door::connection_left() {
+void Admission::connection_left() {
     --connections_;
 }
 
-Objection Door::head_read(std::size_t known) const {
+Objection Admission::head_read(std::size_t known) const {
     if (closing_) return Objection::closing;
     if (known > rules_.body_bytes) return Objection::body_too_big;
     if (jobs_ >= rules_.open_jobs) return Objection::too_many_jobs;
@@ -59,7 +59,7 @@
     return Objection::none;
 }
 
-Objection Door::time_left(std::string_view digits, Time& left) const {
+Objection Admission::time_left(std::string_view digits, Time& left) const {
     if (digits.empty()) {
         if (!rules_.assumed_left) return Objection::time_left_absent;
         left = *rules_.assumed_left;
@@ -75,33 +75,33 @@
     return Objection::none;
 }
 
-Objection Door::name(std::string_view text) const {
+Objection Admission::name(std::string_view text) const {
     const bool odd = std::any_of(text.begin(), text.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; });
     return text.empty() || text.size() > rules_.name_bytes || odd ? Objection::bad_function : Objection::none;
 }
 
-Objection Door::hold(std::size_t bytes) {
+Objection Admission::hold(std::size_t bytes) {
     if (held_ + bytes > rules_.memory_bytes) return Objection::no_memory;
     held_ += bytes;
     return Objection::none;
 }
 
-void Door::let_go(std::size_t bytes) {
+void Admission::let_go(std::size_t bytes) {
     held_ -= std::min(bytes, held_);
 }
 
-Objection Door::job_came() {
+Objection Admission::job_came() {
     if (closing_) return Objection::closing;
     if (jobs_ >= rules_.open_jobs) return Objection::too_many_jobs;
     ++jobs_;
     return Objection::none;
 }
 
-void Door::job_left() {
+void Admission::job_left() {
     --jobs_;
 }
 
-Objection Door::pace(Time since, Time now, std::size_t got) const {
+Objection Admission::pace(Time since, Time now, std::size_t got) const {
     if (now - since < pace_grace) return Objection::none;
     const double seconds = std::chrono::duration<double>(now - since).count();
     return static_cast<double>(got) < static_cast<double>(rules_.least_rate) * (seconds - 1)
@@ -109,7 +109,7 @@
                : Objection::none;
 }
 
-Time Door::no_descriptors() {
+Time Admission::no_descriptors() {
     count(Objection::no_descriptors);
     short_of_ = std::min(short_of_ + 1, 7);
     return 10ms * (1 << short_of_);  // to 1.3 s
--- a/src/door/door.hpp
+++ b/src/admission/admission.hpp
@@ -14,7 +14,7 @@
 using Time = std::chrono::microseconds;
 
 // What is read at start.
-struct DoorRules {
+struct AdmissionRules {
     std::size_t connections = 10'000;
     std::size_t open_jobs = 10'000;
     std::size_t head_bytes = 16 * 1024;
@@ -63,10 +63,10 @@
 
 const Told& told(Objection objection);
 
-class Door {
+class Admission {
 public:
-    explicit Door(DoorRules rules) : rules_(rules) {}
-    const DoorRules& rules() const { return rules_; }
+    explicit Admission(AdmissionRules rules) : rules_(rules) {}
+    const AdmissionRules& rules() const { return rules_; }
 
     Objection connection_came();  // counts it in when it says none
     // One more than the bound, in the place of another that is about to leave.
@@ -99,7 +99,7 @@
     std::size_t held_bytes() const { return held_; }
 
 private:
-    const DoorRules rules_;
+    const AdmissionRules rules_;
     std::size_t connections_{}, jobs_{}, held_{};
     int short_of_{};
     bool closing_{};
@@ -109,21 +109,21 @@
 // The bytes of one body, counted at the door for as long as this lives or until they are handed on.
 class HeldBytes {
 public:
-    explicit HeldBytes(Door& door) : door_(door) {}
-    ~HeldBytes() { door_.let_go(bytes_); }
+    explicit HeldBytes(Admission& admission) : admission_(admission) {}
+    ~HeldBytes() { admission_.let_go(bytes_); }
     HeldBytes(const HeldBytes&) = delete;
     HeldBytes& operator=(const HeldBytes&) = delete;
 
     Objection grow_to(std::size_t bytes) {
         if (bytes <= bytes_) return Objection::none;
-        const Objection objection = door_.hold(bytes - bytes_);
+        const Objection objection = admission_.hold(bytes - bytes_);
         if (objection == Objection::none) bytes_ = bytes;
         return objection;
     }
     std::size_t hand_on() { return std::exchange(bytes_, 0); }
 
 private:
-    Door& door_;
+    Admission& admission_;
     std::size_t bytes_{};
 };
 
--- a/src/charter/charter.cpp
+++ b/src/charter/charter.cpp
@@ -80,27 +80,27 @@
     if (!in.has("repeat")) in.complain("repeat", "is missing: replayable, referenced or single_use");
 }
 
-void read_door(Reader& in, DoorRules& door) {
-    in.read("connections", door.connections, 1);
-    in.read("open_jobs", door.open_jobs, 1);
-    in.read("head_bytes", door.head_bytes, 512);
-    in.read("body_bytes", door.body_bytes);
-    in.read("memory_bytes", door.memory_bytes, 1);
-    in.read("name_bytes", door.name_bytes, 1);
-    in.read("head_within", door.head_within);
-    in.read("idle_for", door.idle_for);
-    in.read("least_rate", door.least_rate);
-    in.read("unread_for", door.unread_for);
-    in.read("longest_left", door.longest_left);
-    in.read("shortest_left", door.shortest_left);
+void read_admission(Reader& in, AdmissionRules& admission) {
+    in.read("connections", admission.connections, 1);
+    in.read("open_jobs", admission.open_jobs, 1);
+    in.read("head_bytes", admission.head_bytes, 512);
+    in.read("body_bytes", admission.body_bytes);
+    in.read("memory_bytes", admission.memory_bytes, 1);
+    in.read("name_bytes", admission.name_bytes, 1);
+    in.read("head_within", admission.head_within);
+    in.read("idle_for", admission.idle_for);
+    in.read("least_rate", admission.least_rate);
+    in.read("unread_for", admission.unread_for);
+    in.read("longest_left", admission.longest_left);
+    in.read("shortest_left", admission.shortest_left);
     if (in.has("assumed_left")) {
-        door.assumed_left = Time{};
-        in.read("assumed_left", *door.assumed_left);
-        if (*door.assumed_left < door.shortest_left || *door.assumed_left > door.longest_left)
+        admission.assumed_left = Time{};
+        in.read("assumed_left", *admission.assumed_left);
+        if (*admission.assumed_left < admission.shortest_left || *admission.assumed_left > admission.longest_left)
             in.complain("assumed_left", "is not from shortest_left to longest_left");
     }
     // A head has to fit into the buffer that it is read through.
-    if (door.head_bytes > 64 * 1024) in.complain("head_bytes", "is over 65536");
+    if (admission.head_bytes > 64 * 1024) in.complain("head_bytes", "is over 65536");
 }
 
 void check_address(Reader& in, std::string_view key, const std::string& text) {
@@ -128,7 +128,7 @@
     if (list.wait < 100ms || list.wait > 10min) in.complain("wait", "is not from 100ms to 10min");
 }
 
-void read_lines(Reader& in, LineRules& lines) {
+void read_lines(Reader& in, PoolRules& lines) {
     in.read("most", lines.most, 1);
     in.read("queued", lines.queued);
     in.read("connect_within", lines.connect_within);
@@ -230,9 +230,9 @@
     in.read("says_company", charter.says_company);
     in.within("rulebook", [&](Reader& part) { read_rulebook(part, charter.rulebook); });
     in.within("allowances", [&](Reader& part) { read_allowances(part, charter.allowances); });
-    in.within("door", [&](Reader& part) { read_door(part, charter.door); });
+    in.within("door", [&](Reader& part) { read_admission(part, charter.admission); });
     in.within("list", [&](Reader& part) { read_list(part, charter.list); });
-    in.within("lines", [&](Reader& part) { read_lines(part, charter.lines); });
+    in.within("lines", [&](Reader& part) { read_lines(part, charter.pool); });
     in.within("log", [&](Reader& part) { read_log(part, charter.log); });
     in.within("trace", [&](Reader& part) { read_trace(part, charter.trace); });
     in.within("metrics", [&](Reader& part) { read_metrics(part, charter.metrics); });
--- a/src/charter/charter.hpp
+++ b/src/charter/charter.hpp
@@ -8,7 +8,7 @@
 
 #include "charter/reader.hpp"
 #include "dispatch/types.hpp"
-#include "door/door.hpp"
+#include "admission/admission.hpp"
 #include "metrics/rules.hpp"
 #include "remote/ship.hpp"
 #include "trace/recorder.hpp"
@@ -33,10 +33,10 @@
     std::vector<StatedInvoker> fixed;
 };
 
-struct LineRules {  // the connections to one invoker
+struct PoolRules {  // the connections to one invoker
     std::size_t most = 256;
     std::size_t most_all = 100'000;  // to all invokers together; each has one all the same
-    std::size_t hops_a_line = 1;     // where the protocol carries several
+    std::size_t hops_a_connection = 1;     // where the protocol carries several
     std::size_t queued = 1024;  // hops that wait for a connection; beyond: turned back as never sent
     Time connect_within = std::chrono::milliseconds(250);
     Time idle_for = std::chrono::seconds(15);
@@ -65,9 +65,9 @@
     std::string listen = "127.0.0.1:7400";
     Rulebook rulebook;
     Allowances allowances;
-    DoorRules door;
+    AdmissionRules admission;
     ListSource list;
-    LineRules lines;
+    PoolRules pool;
     LogRules log;
     trace::RecorderRules trace;
     Measurements metrics;
--- a/src/board/frames.cpp
+++ b/src/discovery/frames.cpp
@@ -1,8 +1,8 @@
-#include "board/frames.hpp"
+#include "discovery/frames.hpp"
 
 #include <fmt/format.h>
 
-namespace plumkeel::board {
+namespace plumkeel::discovery {
 namespace {
 
 constexpr std::size_t length_bytes = 4, fixed_bytes = 9, record_bytes = 27;
--- a/src/board/frames.hpp
+++ b/src/discovery/frames.hpp
@@ -10,7 +10,7 @@
 #include "fleet/follower.hpp"
 #include "settings/fields.hpp"
 
-namespace plumkeel::board {
+namespace plumkeel::discovery {
 
 struct Event {
     std::uint64_t number{};
--- a/src/board/board.cpp
+++ b/src/discovery/watch.cpp
@@ -1,4 +1,4 @@
-#include "board/board.hpp"
+#include "discovery/watch.hpp"
 
 #include <algorithm>
 #include <array>
@@ -6,9 +6,9 @@
 #include "net/limit.hpp"
 #include "net/outbox.hpp"
 
-namespace plumkeel::board {
+namespace plumkeel::discovery {
 
-Board::Board(net::World& world, Log& log, Places places, net::Address address, std::uint64_t last, Told told, std::uint64_t seed,
+Watch::Watch(net::World& world, Log& log, Places places, net::Address address, std::uint64_t last, Told told, std::uint64_t seed,
              Patience patience)
     : world_(world),
       log_(log),
@@ -20,11 +20,11 @@
       sooner_(world),
       chance_(seed) {}
 
-void Board::follow() {
+void Watch::follow() {
     world_.spawn(run());
 }
 
-void Board::move_to(net::Address address) {
+void Watch::move_to(net::Address address) {
     if (address == address_) return;
     log_.line(Log::Level::info, "board_moves", {{"from", address_.text()}, {"to", address.text()}});
     address_ = std::move(address);
@@ -34,7 +34,7 @@
     sooner_.fire();
 }
 
-net::Task<> Board::run() {
+net::Task<> Watch::run() {
     for (;;) {
         moved_ = false;
         const net::Address to = address_;
@@ -59,7 +59,7 @@
 }
 
 // Returns why it could not go on.
-net::Task<const char*> Board::listen(std::shared_ptr<net::Stream> stream) {
+net::Task<const char*> Watch::listen(std::shared_ptr<net::Stream> stream) {
     const auto outbox = std::make_shared<net::Outbox>(world_, stream);
     outbox->send(asking(order_.last()));
     bool silent = false;
--- a/src/board/board.hpp
+++ b/src/discovery/watch.hpp
@@ -6,12 +6,12 @@
 #include <functional>
 #include <memory>
 
-#include "board/frames.hpp"
+#include "discovery/frames.hpp"
 #include "chance/pcg.hpp"
 #include "log/log.hpp"
 #include "net/world.hpp"
 
-namespace plumkeel::board {
+namespace plumkeel::discovery {
 
 struct Patience {
     net::Time connect_within = std::chrono::seconds(1);
@@ -19,11 +19,11 @@
     net::Time first_pause = std::chrono::milliseconds(50), longest_pause = std::chrono::milliseconds(800);
 };
 
-class Board {
+class Watch {
 public:
     using Told = std::function<void(const Event&)>;
     // `seed` sets the pauses of this one apart from those of all other controllers, which lose the board together.
-    Board(net::World& world, Log& log, Places places, net::Address address, std::uint64_t last, Told told, std::uint64_t seed,
+    Watch(net::World& world, Log& log, Places places, net::Address address, std::uint64_t last, Told told, std::uint64_t seed,
           Patience patience = {});
 
     void follow();  // until the world ends
--- a/src/fastcgi/front.cpp
+++ b/src/fastcgi/front.cpp
@@ -25,7 +25,7 @@
 
 net::Task<> Front::accept() {
     const auto listener = listener_;
-    Door& door = gateway_.door();
+    Admission& admission = gateway_.admission();
     for (;;) {
         auto accepted = co_await listener->accept();
         if (accepted.error == net::asio::error::operation_aborted) co_return;
@@ -34,27 +34,27 @@
             // once again would spin: the next try comes when a descriptor is free, or after a growing pause.
             gateway_.log().line(Log::Level::error, "accept_broke", {{"why", accepted.error.message()}});
             if (const auto chosen = least_needed()) chosen->leave_at_once();
-            auto ticket = gateway_.world().at(gateway_.world().now() + door.no_descriptors(), [this] { visit_left_.fire(); });
+            auto ticket = gateway_.world().at(gateway_.world().now() + admission.no_descriptors(), [this] { visit_left_.fire(); });
             co_await visit_left_.wait();
             gateway_.world().drop(ticket);
             continue;
         }
-        door.accepted();
-        Objection objection = door.connection_came();
+        admission.accepted();
+        Objection objection = admission.connection_came();
         if (objection != Objection::none) {
             // The place is free only once the other has gone: this one may stand beside it for that long. More than
             // a few such would together cost the board its descriptor, so their farewell is cut short.
-            door.count(objection);
+            admission.count(objection);
             const auto chosen = least_needed();
             if (!chosen) {
                 accepted.stream->close();
                 continue;
             }
-            if (door.connections() < door.rules().connections + most_over)
+            if (admission.connections() < admission.rules().connections + most_over)
                 chosen->leave();
             else
                 chosen->leave_at_once();
-            door.connection_came_over();
+            admission.connection_came_over();
         }
         const auto visit = std::make_shared<Visit>(*this, ++visit_numbers_, std::move(accepted.stream));
         visits_[visit->number()] = visit;
@@ -110,7 +110,7 @@
 }
 
 void Front::visit_gone(const std::shared_ptr<Visit>& visit) {
-    if (visits_.erase(visit->number())) gateway_.door().connection_left();
+    if (visits_.erase(visit->number())) gateway_.admission().connection_left();
     visit_left_.fire();
 }
 
--- a/src/fastcgi/visit.cpp
+++ b/src/fastcgi/visit.cpp
@@ -74,7 +74,7 @@
       number_(number),
       stream_(std::move(stream)),
       outbox_(std::make_shared<net::Outbox>(gateway_.world(), stream_)),
-      intake_({.body = gateway_.door().rules().body_bytes}),
+      intake_({.body = gateway_.admission().rules().body_bytes}),
       watch_(gateway_.world(), [this] { watch(); }),
       left_(gateway_.world()) {}
 
@@ -98,9 +98,9 @@
         const std::uint64_t records = intake_.records();
         const bool read = intake_.feed({room.data(), moved.bytes}, *this);
         if (intake_.records() != records || !intake_.in_record()) stuck_since_ = last_;
-        if (!read) gateway_.door().count(Objection::malformed);
+        if (!read) gateway_.admission().count(Objection::malformed);
         if (outbox_->pending() > pending_end) {
-            gateway_.door().count(Objection::unread_answer);
+            gateway_.admission().count(Objection::unread_answer);
             outbox_->abandon();
             stream_->reset();
             break;
@@ -114,7 +114,7 @@
     while (leaving_ && !gone_) co_await left_.wait();
     leaving_ = true;
     watch_.clear();
-    gateway_.door().let_go(std::exchange(counted_, 0));
+    gateway_.admission().let_go(std::exchange(counted_, 0));
     outbox_->abandon();
     stream_->close();
     front_.visit_gone(self);
@@ -125,11 +125,11 @@
     const std::size_t now = intake_.held();
     Objection full = Objection::none;
     if (now > counted_)
-        full = gateway_.door().hold(now - counted_);
+        full = gateway_.admission().hold(now - counted_);
     else
-        gateway_.door().let_go(counted_ - now);
+        gateway_.admission().let_go(counted_ - now);
     if (full == Objection::none) counted_ = now;
-    else gateway_.door().count(full);
+    else gateway_.admission().count(full);
     return full == Objection::none;
 }
 
@@ -169,7 +169,7 @@
     const Objection objection = understand(message, wanted);
     if (objection == Objection::no_such_path && wanted.name == front_.paths().health) {
         open_[message.number] = {nullptr, message.keep};
-        const bool well = !gateway_.door().closing();
+        const bool well = !gateway_.admission().closing();
         return answer(message.number, well ? "Status: 200 OK\r\n" : "Status: 503 Closing\r\n", well ? "ok\n" : "closing\n");
     }
     if (objection != Objection::none) return object(message.number, objection, message.keep);
@@ -177,10 +177,10 @@
     if (open_.size() >= Bounds{}.open || outbox_->pending() > pending_most)
         return object(message.number, Objection::too_many_jobs, message.keep);
     if (front_.names().count(wanted.name)) return object(message.number, Objection::bad_field, message.keep);
-    if (const Objection full = gateway_.door().hold(message.body.size()); full != Objection::none)
+    if (const Objection full = gateway_.admission().hold(message.body.size()); full != Objection::none)
         return object(message.number, full, message.keep);
-    if (const Objection turned = gateway_.door().job_came(); turned != Objection::none) {
-        gateway_.door().let_go(message.body.size());
+    if (const Objection turned = gateway_.admission().job_came(); turned != Objection::none) {
+        gateway_.admission().let_go(message.body.size());
         return object(message.number, turned, message.keep);
     }
     wanted.held = message.body.size();
@@ -219,7 +219,7 @@
     if (!hex_digits(name)) return Objection::bad_field;
     if (!hex_digits(key)) return Objection::bad_function;
     if (!charter.tenants.empty() && !charter.tenants.count(std::string(tenant))) return Objection::bad_field;
-    const auto& rules = gateway_.door().rules();
+    const auto& rules = gateway_.admission().rules();
     // An invoker that deduplicates tells repeats by this key: without it a second attempt would take effect twice.
     if (use->second.repeat == Repeat::referenced && once.empty()) return Objection::mark_missing;
     if (!key_word(once) || once.size() > rules.name_bytes) return Objection::bad_field;
@@ -242,7 +242,7 @@
     begun_.erase(number);
     if (why == Wrong::twice) drop(number);
     if (why == Wrong::role) {
-        gateway_.door().count(Objection::malformed);
+        gateway_.admission().count(Objection::malformed);
         outbox_->send(end_records(number, 0, unknown_role, false));
         return;
     }
@@ -269,7 +269,7 @@
 }
 
 void Visit::asks_values(std::string_view names) {
-    outbox_->send(values_record(names, gateway_.door().rules().connections, Bounds{}.open));
+    outbox_->send(values_record(names, gateway_.admission().rules().connections, Bounds{}.open));
 }
 
 void Visit::unknown(std::uint8_t type) {
@@ -294,11 +294,11 @@
 
 // What the door objects to was never taken.
 void Visit::object(std::uint16_t number, Objection objection, bool keep) {
-    gateway_.door().count(objection);
+    gateway_.admission().count(objection);
     const plumkeel::Told& words = told(objection);
     open_[number] = {nullptr, keep};
     if (!words.come_back) return answer(number, fmt::format("Status: {} {}\r\n", words.status, words.word), words.text);
-    answer(number, fmt::format("Status: 503 {}\r\nBack-Off-Ms: {}\r\n", words.word, gateway_.door().retry_after() / 1ms), "", overloaded);
+    answer(number, fmt::format("Status: 503 {}\r\nBack-Off-Ms: {}\r\n", words.word, gateway_.admission().retry_after() / 1ms), "", overloaded);
 }
 
 void Visit::answer(std::uint16_t number, std::string head, std::string_view body, std::uint8_t protocol_status) {
@@ -339,18 +339,18 @@
 
 net::Task<bool> Visit::room() {
     const auto self = shared_from_this();
-    co_await outbox_->below(gateway_.charter().lines.stream_ahead);
+    co_await outbox_->below(gateway_.charter().pool.stream_ahead);
     co_return !outbox_->broken();
 }
 
 // Looks now and then at what takes too long: a silent connection, half a message, answers not read.
 void Visit::watch() {
-    const auto& rules = gateway_.door().rules();
+    const auto& rules = gateway_.admission().rules();
     const Time now = world().now();
     if (outbox_->pending() == 0 || outbox_->sent() != sent_then_) unread_since_ = now;
     sent_then_ = outbox_->sent();
     if (now - unread_since_ >= rules.unread_for) {
-        gateway_.door().count(Objection::unread_answer);
+        gateway_.admission().count(Objection::unread_answer);
         outbox_->abandon();
         stream_->reset();
         return;
@@ -367,7 +367,7 @@
     const bool stuck = intake_.in_record() && open_.empty() && now - stuck_since_ >= rules.head_within;
     const bool silent = !spoke_ && open_.empty() && now - last_ >= rules.head_within;
     const bool idle = open_.empty() && !intake_.midway() && now - last_ >= rules.idle_for;
-    if (stuck || silent) gateway_.door().count(Objection::head_too_slow);
+    if (stuck || silent) gateway_.admission().count(Objection::head_too_slow);
     if (stuck || silent || idle) leave();
 }
 
--- a/src/gateway/edges.hpp
+++ b/src/gateway/edges.hpp
@@ -67,31 +67,31 @@
     int copies{};
     std::string_view invoker;  // its name
     net::Time until{};     // it ends as overdue then, unless its answer streams
-    bool fresh_line{};     // asks for a connection that nothing else has used
+    bool fresh_connection{};     // asks for a connection that nothing else has used
 
     // A probe or an order: goes first, and past the cap on lines.
     bool light() const { return kind != Kind::hop; }
     State state() const { return state_; }
 
 private:
-    friend class Lines;
+    friend class ConnectionPool;
     State state_{};
     net::World::Ticket limit_{};
     std::shared_ptr<void> carrier_;  // the connection it is on
 };
 
-struct LineCounts {
+struct ConnectionCounts {
     std::uint64_t opened{}, reused{}, broke_idle{}, unreachable{}, late{}, spoilt{};
     // A connection had to be given up: to which address, why in a word, and with how many errands out.
     std::function<void(const std::string&, const char*, std::size_t)> tell_spoilt;
 };
 
-class Lines {
+class ConnectionPool {
 public:
-    explicit Lines(net::World& world) : world_(world) {}
-    virtual ~Lines() = default;
-    Lines(const Lines&) = delete;
-    Lines& operator=(const Lines&) = delete;
+    explicit ConnectionPool(net::World& world) : world_(world) {}
+    virtual ~ConnectionPool() = default;
+    ConnectionPool(const ConnectionPool&) = delete;
+    ConnectionPool& operator=(const ConnectionPool&) = delete;
 
     void send(std::shared_ptr<Errand> errand);
     virtual void call_off(Errand& errand) { stop(errand, proof::Cause::called_off); }
@@ -130,6 +130,6 @@
     net::World& world_;
 };
 
-using LinesTo = std::function<std::unique_ptr<Lines>(const net::Address&, LineCounts&)>;
+using PoolFor = std::function<std::unique_ptr<ConnectionPool>(const net::Address&, ConnectionCounts&)>;
 
 }  // namespace plumkeel::gateway
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -100,12 +100,12 @@
 
 }  // namespace
 
-Gateway::Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed, LinesTo lines_to, trace::Recorded recorded)
+Gateway::Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed, PoolFor pool_for, trace::Recorded recorded)
     : world_(world),
       charter_(std::move(charter)),
       log_(log),
-      lines_to_(std::move(lines_to)),
-      door_(charter_.door),
+      pool_for_(std::move(pool_for)),
+      admission_(charter_.admission),
       incarnation_(fmt::format("{}/{:x}", charter_.name, world.wall() / 1ms)),
       tenants_(charter_.tenants),
       controller_(start_of(charter_, seed), use_cases_of(charter_), tenants_of(tenants_), std::move(recorded),
@@ -124,12 +124,12 @@
 
 void Gateway::close(std::function<void()> then) {
     then_ = std::move(then);
-    door_.close();
+    admission_.close();
     see_whether_done();
 }
 
 void Gateway::see_whether_done() {
-    if (!then_ || door_.open_jobs() > 0) return;
+    if (!then_ || admission_.open_jobs() > 0) return;
     world_.at(world_.now(), std::exchange(then_, nullptr));
 }
 
@@ -196,7 +196,7 @@
     ward.visit->begin(ward, status, passed);
     // The job is bound to this answer: no other hop of it can be of use any more.
     for (const auto& other : ward.errands)
-        if (other.get() != &errand && other->hop.out) static_cast<Post&>(*other->hop.invoker).lines->call_off(*other);
+        if (other.get() != &errand && other->hop.out) static_cast<Post&>(*other->hop.invoker).pool->call_off(*other);
     return true;
 }
 
@@ -267,10 +267,10 @@
         post->started.reset();
         if (entry.started) post->started = *entry.started - zero;
         const auto address = net::Address::parse(entry.address);
-        if (post->lines)
-            post->lines->move_to(*address);
+        if (post->pool)
+            post->pool->move_to(*address);
         else
-            post->lines = lines_to_(*address, line_counts_);
+            post->pool = pool_for_(*address, connection_counts_);
         invokers.push_back(post.get());
     }
     feed([&](trace::Watched& it, Time now) { return it.fleet_changed(now, invokers, complete); });
@@ -291,7 +291,7 @@
     for (const auto& [name, post] : posts_)
         if (!post->ready || !post->listed) {
             if (!post->drains_since) post->drains_since = world_.now();
-            post->lines->withdraw();
+            post->pool->withdraw();
         }
 }
 
@@ -300,7 +300,7 @@
 void Gateway::carry_out(const Results& results) {
     for (Hop* hop : results.called_off) {
         const auto& errand = static_cast<Ward*>(hop->job)->errands[static_cast<std::size_t>(hop->number)];
-        static_cast<Post*>(hop->invoker)->lines->call_off(*errand);
+        static_cast<Post*>(hop->invoker)->pool->call_off(*errand);
     }
     for (Job* job : results.answered) answer(static_cast<Ward&>(*job));
     for (Hop* hop : results.started) send_hop(*hop);
@@ -325,12 +325,12 @@
     const auto found = posts_.find(post.name);
     const std::shared_ptr<Post> it = std::move(found->second);
     posts_.erase(found);
-    it->lines->close();
+    it->pool->close();
     see_off(it);
 }
 
 void Gateway::see_off(std::shared_ptr<Post> post) {
-    const std::size_t open = post->lines->open() + post->lines->waiting();
+    const std::size_t open = post->pool->open() + post->pool->waiting();
     world_.at(world_.now() + 1s, [this, open, it = std::move(post)] {
         if (open > 0) see_off(it);
     });
@@ -339,7 +339,7 @@
 void Gateway::dispatch(std::shared_ptr<Errand> errand, Post& post, Time within) {
     errand->invoker = post.name;
     errand->until = world_.now() + within;
-    post.lines->send(std::move(errand));
+    post.pool->send(std::move(errand));
 }
 
 void Gateway::send_hop(Hop& hop) {
@@ -348,7 +348,7 @@
     ward.errands.push_back(errand);
     // An invoker may close a connection that idled at the very moment when a hop leaves on it. What may run but
     // once is not put at that risk: it leaves on a connection of its own.
-    errand->fresh_line = ward.use_case->repeat == Repeat::single_use;
+    errand->fresh_connection = ward.use_case->repeat == Repeat::single_use;
     ++tally_.hops;
     dispatch(errand, static_cast<Post&>(*hop.invoker), hop.limit);
 }
@@ -356,14 +356,14 @@
 void Gateway::send_probe(Post& post) {
     ++tally_.probes;
     if (meters_) meters_->probe_sent();
-    dispatch(std::make_shared<ProbeErrand>(*this, post), post, charter_.lines.probe_within);
+    dispatch(std::make_shared<ProbeErrand>(*this, post), post, charter_.pool.probe_within);
 }
 
 void Gateway::send_order(const CopyOrder& order) {
     ++tally_.orders;
     if (meters_) meters_->copies_ordered();
     Post& post = static_cast<Post&>(*order.invoker);
-    dispatch(std::make_shared<OrderErrand>(*this, post, order), post, charter_.lines.order_within);
+    dispatch(std::make_shared<OrderErrand>(*this, post, order), post, charter_.pool.order_within);
 }
 
 // A final answer that the module gives by itself.
@@ -380,9 +380,9 @@
 
 // Once for each job, when it has its final answer or its client has left.
 void Gateway::count(const Ward& ward) {
-    door_.job_left();
-    door_.let_go(ward.held);
-    for (const auto& errand : ward.errands) static_cast<Post&>(*errand->hop.invoker).lines->take_back(*errand);
+    admission_.job_left();
+    admission_.let_go(ward.held);
+    for (const auto& errand : ward.errands) static_cast<Post&>(*errand->hop.invoker).pool->take_back(*errand);
     if (meters_) {
         const Time now = world_.now(), left = ward.hops.empty() ? now : ward.hops.front().sent;
         meters_->job_ended({static_cast<const StatedUseCase*>(ward.use_case)->name, ward.tenant_name, ward.function->name, ward.state, ward.why,
@@ -427,14 +427,14 @@
 metrics::Levels Gateway::levels() const {
     const auto in_seconds = [](Time t) { return std::chrono::duration<double>(t).count(); };
     metrics::Levels out;
-    out.open_jobs = static_cast<double>(door_.open_jobs());
-    out.held_bytes = static_cast<double>(door_.held_bytes());
-    out.connections = static_cast<double>(door_.connections());
+    out.open_jobs = static_cast<double>(admission_.open_jobs());
+    out.held_bytes = static_cast<double>(admission_.held_bytes());
+    out.connections = static_cast<double>(admission_.connections());
     out.functions = static_cast<double>(functions_.size());
     out.parked = static_cast<double>(controller_.parked());
     std::vector<double> paces;
     for (const auto& [name, post] : posts_) {
-        out.lines_open += static_cast<double>(post->lines->open());
+        out.connections_open += static_cast<double>(post->pool->open());
         if (post->drains_since && !post->out.empty()) out.oldest_drain_s = std::max(out.oldest_drain_s, in_seconds(world_.now() - *post->drains_since));
         if (!post->ready || !post->listed) {
             ++out.not_ready;
@@ -454,10 +454,10 @@
     }
     if (const auto told_at = list_told()) out.list_age_s = in_seconds(world_.now() - *told_at);
     out.log_lost = static_cast<double>(log_.lost());
-    out.unreachable = static_cast<double>(line_counts_.unreachable);
+    out.unreachable = static_cast<double>(connection_counts_.unreachable);
     for (int i = 1; i < static_cast<int>(Objection::count_); ++i) {
         const auto objection = static_cast<Objection>(i);
-        if (door_.counted(objection)) out.turned_back[std::string(told(objection).word)] = static_cast<double>(door_.counted(objection));
+        if (admission_.counted(objection)) out.turned_back[std::string(told(objection).word)] = static_cast<double>(admission_.counted(objection));
     }
     return out;
 }
@@ -467,10 +467,10 @@
     boost::json::array out;
     const auto tenths = [](double x) { return static_cast<double>(static_cast<long>(x * 10 + 0.5)) / 10; };
     for (const auto& [name, post] : posts_) {
-        if (!post->listed && post->out.empty() && post->lines->open() == 0) continue;
+        if (!post->listed && post->out.empty() && post->pool->open() == 0) continue;
         boost::json::object row{{"i", name}, {"s", post->ready && post->listed ? words[static_cast<int>(post->standing)] : "not_ready"},
-                                {"out", post->out.size()}, {"lines_out", post->lines->out()}, {"queued", post->lines->waiting()},
-                                {"lines", post->lines->open()}, {"pace", tenths(pace_told(*post))}};
+                                {"out", post->out.size()}, {"lines_out", post->pool->out()}, {"queued", post->pool->waiting()},
+                                {"lines", post->pool->open()}, {"pace", tenths(pace_told(*post))}};
         if (post->held) row["told"] = tenths(*post->held);
         if (post->cold_since) row["cold"] = true;
         out.push_back(std::move(row));
@@ -479,34 +479,34 @@
 }
 
 boost::json::object Gateway::status() const {
-    boost::json::object door;
+    boost::json::object admission;
     for (int i = 1; i < static_cast<int>(Objection::count_); ++i) {
         const auto objection = static_cast<Objection>(i);
-        if (door_.counted(objection)) door[told(objection).word] = door_.counted(objection);
+        if (admission_.counted(objection)) admission[told(objection).word] = admission_.counted(objection);
     }
-    std::size_t open_lines = 0;
+    std::size_t open_connections = 0;
     boost::json::object standings{{"trusted", 0}, {"suspect", 0}, {"aside", 0}, {"easing", 0}, {"not_ready", 0}};
     static constexpr const char* words[] = {"trusted", "suspect", "aside", "easing"};
     for (const auto& [name, post] : posts_) {
-        open_lines += post->lines->open();
+        open_connections += post->pool->open();
         auto& slot = standings[post->ready && post->listed ? words[static_cast<int>(post->standing)] : "not_ready"];
         slot = slot.as_int64() + 1;
     }
     const auto told_at = list_told();
     return {{"controller", incarnation_},
             {"up_s", static_cast<double>(world_.now().count()) / 1e6},
-            {"closing", door_.closing()},
+            {"closing", admission_.closing()},
             {"jobs",
              {{"taken", tally_.taken}, {"honoured", tally_.honoured}, {"bounced", tally_.bounced},
-              {"written_off", tally_.written_off}, {"client_left", tally_.abandoned}, {"open", door_.open_jobs()},
+              {"written_off", tally_.written_off}, {"client_left", tally_.abandoned}, {"open", admission_.open_jobs()},
               {"parked", controller_.parked()}, {"streamed", tally_.streamed}, {"late_answers", tally_.late}}},
             {"hops", tally_.hops},
             {"probes", tally_.probes},
             {"orders", tally_.orders},
-            {"door", {{"connections", door_.connections()}, {"held_bytes", door_.held_bytes()}, {"turned_back", door}}},
+            {"door", {{"connections", admission_.connections()}, {"held_bytes", admission_.held_bytes()}, {"turned_back", admission}}},
             {"lines",
-             {{"open", open_lines}, {"opened", line_counts_.opened}, {"reused", line_counts_.reused},
-              {"unreachable", line_counts_.unreachable}, {"late", line_counts_.late}, {"spoilt", line_counts_.spoilt}}},
+             {{"open", open_connections}, {"opened", connection_counts_.opened}, {"reused", connection_counts_.reused},
+              {"unreachable", connection_counts_.unreachable}, {"late", connection_counts_.late}, {"spoilt", connection_counts_.spoilt}}},
             {"functions", functions_.size()},
             {"invokers", standings},
             {"list_age_s", told_at ? boost::json::value(static_cast<double>((world_.now() - *told_at).count()) / 1e6)
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -10,7 +10,7 @@
 
 #include "charter/charter.hpp"
 #include "dispatch/controller.hpp"
-#include "door/door.hpp"
+#include "admission/admission.hpp"
 #include "fleet/follower.hpp"
 #include "gateway/edges.hpp"
 #include "log/log.hpp"
@@ -53,7 +53,7 @@
 };
 
 struct Post : Invoker {
-    std::unique_ptr<Lines> lines;
+    std::unique_ptr<ConnectionPool> pool;
     std::optional<Time> drains_since;
 };
 
@@ -65,7 +65,7 @@
 class Gateway {
 public:
     // `recorded` is told every call into the module and its answer, for traces.
-    Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed, LinesTo lines_to, trace::Recorded recorded = {});
+    Gateway(net::World& world, Charter charter, Log& log, std::uint64_t seed, PoolFor pool_for, trace::Recorded recorded = {});
     ~Gateway();
 
     void begin();
@@ -82,10 +82,10 @@
 
     net::World& world() { return world_; }
     const Charter& charter() const { return charter_; }
-    Door& door() { return door_; }
+    Admission& admission() { return admission_; }
     Log& log() { return log_; }
     const std::string& incarnation() const { return incarnation_; }
-    void tell_spoilt(decltype(LineCounts::tell_spoilt) tell) { line_counts_.tell_spoilt = std::move(tell); }
+    void tell_spoilt(decltype(ConnectionCounts::tell_spoilt) tell) { connection_counts_.tell_spoilt = std::move(tell); }
     boost::json::object status() const;
     // For each invoker what the module believes, beside what is on the connections.
     boost::json::array believed() const;
@@ -125,15 +125,15 @@
     net::World& world_;
     const Charter charter_;
     Log& log_;
-    const LinesTo lines_to_;
-    Door door_;
+    const PoolFor pool_for_;
+    Admission admission_;
     std::string incarnation_;  // name and start, told with each hop
     std::map<std::string, Tenant> tenants_;
     std::map<std::string, Kind> kinds_;
     std::unordered_map<std::uint64_t, std::unique_ptr<Ward>> jobs_;
     std::unordered_map<std::string, std::unique_ptr<Function>> functions_;
     std::map<std::string, std::unique_ptr<Post>> posts_;
-    LineCounts line_counts_;
+    ConnectionCounts connection_counts_;
     Tally tally_;
     trace::Watched controller_;
     std::function<std::optional<Time>()> list_told_;
--- a/src/gateway/proof.hpp
+++ b/src/gateway/proof.hpp
@@ -8,7 +8,7 @@
 // How far an errand got when its connection ended, or its time, or the wish for it. What counts as written is
 // the protocol's: one that runs a hop only once it has come whole says `may_have_run` only then.
 enum class Reached { nothing_connected, not_written, may_have_run };
-enum class Cause { no_connection, line_broke, time_ran_out, called_off, withdrawn };
+enum class Cause { no_connection, connection_broke, time_ran_out, called_off, withdrawn };
 
 constexpr Ending ending_of(Reached reached, Cause cause) {
     if (reached == Reached::nothing_connected && cause == Cause::no_connection) return Ending::unreachable;
--- a/src/log/log.hpp
+++ b/src/log/log.hpp
@@ -1,4 +1,4 @@
-// Structured logs: one JSON object a line, written by spdlog's own thread through a bounded queue. Lines of one
+// Structured logs: one JSON object a line, written by spdlog's own thread through a bounded queue. ConnectionPool of one
 // kind come at a bounded rate, so that a storm can't drown the disk; what was left out is told with the next.
 #pragma once
 
--- a/src/metrics/meters.cpp
+++ b/src/metrics/meters.cpp
@@ -152,7 +152,7 @@
 void Meters::set(const Levels& l) {
     const std::pair<const char*, double> now[] = {
         {"open_jobs", l.open_jobs}, {"parked_jobs", l.parked}, {"door_held_bytes", l.held_bytes}, {"door_connections", l.connections},
-        {"functions", l.functions}, {"lines_open", l.lines_open}, {"hops_at_doubted", l.out_at_doubted},
+        {"functions", l.functions}, {"lines_open", l.connections_open}, {"hops_at_doubted", l.out_at_doubted},
         {"oldest_drain_seconds", l.oldest_drain_s}, {"pace_median", l.pace_median}, {"pace_worst", l.pace_worst},
         {"list_age_seconds", l.list_age_s}, {"loop_lag_seconds", l.lag_s}, {"trusted", l.trusted}, {"suspect", l.suspect},
         {"aside", l.aside}, {"easing", l.easing}, {"not_ready", l.not_ready}, {"cold", l.cold}};
--- a/src/metrics/meters.hpp
+++ b/src/metrics/meters.hpp
@@ -37,7 +37,7 @@
 
 // What is looked at, not counted.
 struct Levels {
-    double open_jobs{}, parked{}, held_bytes{}, connections{}, functions{}, lines_open{};
+    double open_jobs{}, parked{}, held_bytes{}, connections{}, functions{}, connections_open{};
     double trusted{}, suspect{}, aside{}, easing{}, not_ready{}, cold{};
     double out_at_doubted{};     // hops out at invokers that are doubted or set aside
     double oldest_drain_s{};     // since when an invoker that takes no more has had hops out
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -38,16 +38,16 @@
 void share_descriptors(std::size_t descriptors, std::size_t invokers, Charter& charter) {
     const std::size_t own = 24;  // the listener, the board's old and new connection, the loop's, the log
     if (descriptors < 64) throw Fault("field 'sockets' is under 64: no room for clients and invokers");
-    charter.door.connections = descriptors / 2;
-    charter.lines.most_all = descriptors - charter.door.connections - own;
-    charter.lines.most = std::clamp<std::size_t>(charter.lines.most_all / std::max<std::size_t>(1, invokers + invokers / 2), 1, 8);
+    charter.admission.connections = descriptors / 2;
+    charter.pool.most_all = descriptors - charter.admission.connections - own;
+    charter.pool.most = std::clamp<std::size_t>(charter.pool.most_all / std::max<std::size_t>(1, invokers + invokers / 2), 1, 8);
 }
 
 // What the process holds beside bodies is 14 to 19 MB resident by its own state lines.
 void share_memory(std::size_t memory_mb, Charter& charter) {
     const std::size_t bytes = memory_mb * 1024 * 1024;
     if (memory_mb < 24) throw Fault("field 'memory_mb' is under 24: the program alone takes more than half of it");
-    charter.door.memory_bytes = bytes / 6;
+    charter.admission.memory_bytes = bytes / 6;
     charter.log.queued = 256;
 }
 
@@ -57,14 +57,14 @@
     charter.name = need<std::string>(config, "name");
     charter.listen = address_of(config, "listen").text();
     out.seed = seed_of(config);
-    out.board = address_of(config, "board");
+    out.discovery = address_of(config, "board");
     const json& limits = part(config, "limits");
     out.descriptors = need<std::size_t>(limits, "sockets");
     out.memory_mb = need<std::size_t>(limits, "memory_mb");
 
     const json& known = part(config, "known");
-    out.known = board::read_known(known);
-    for (const board::Event& event : out.known)
+    out.known = discovery::read_known(known);
+    for (const discovery::Event& event : out.known)
         for (const fleet::Entry& entry : event.entries)
             if (!net::Address::parse(entry.address)) throw Fault("field 'endpoint' of 'known': '" + entry.address + "' is no address");
     out.known_to = settings::get<std::uint64_t>(known, "rev");
@@ -87,20 +87,20 @@
     out.places = {told.zones, told.kinds};
     out.sight = {told.report_fields, told.says_company};
 
-    charter.lines.connect_within = told.connect_within;
-    charter.lines.probe_within = told.connect_within;
-    charter.lines.order_within = told.order_within;
+    charter.pool.connect_within = told.connect_within;
+    charter.pool.probe_within = told.connect_within;
+    charter.pool.order_within = told.order_within;
     // Ours close before the invoker's do, so that no hop crosses a close.
-    charter.lines.idle_for = told.idle_for / 2;
-    charter.lines.hops_a_line = told.hops_a_line;
-    charter.door.body_bytes = 16 * 1024;
-    charter.door.longest_left = told.longest_wait;
-    charter.door.head_within = 1500ms;  // bad clients are owed a word or a close within 3 s
-    charter.door.idle_for = 6s;         // clients close theirs after 4
-    charter.door.unread_for = 2s;
+    charter.pool.idle_for = told.idle_for / 2;
+    charter.pool.hops_a_connection = told.hops_a_connection;
+    charter.admission.body_bytes = 16 * 1024;
+    charter.admission.longest_left = told.longest_wait;
+    charter.admission.head_within = 1500ms;  // bad clients are owed a word or a close within 3 s
+    charter.admission.idle_for = 6s;         // clients close theirs after 4
+    charter.admission.unread_for = 2s;
     charter.metrics.on = false;
     std::size_t invokers = 0;
-    for (const board::Event& event : out.known) invokers = std::max(invokers, event.entries.size());
+    for (const discovery::Event& event : out.known) invokers = std::max(invokers, event.entries.size());
     share_descriptors(out.descriptors, invokers, charter);
     share_memory(out.memory_mb, charter);
     return out;
--- a/src/platform/config.hpp
+++ b/src/platform/config.hpp
@@ -5,10 +5,10 @@
 #include <cstdint>
 #include <string>
 
-#include "board/frames.hpp"
+#include "discovery/frames.hpp"
 #include "charter/charter.hpp"
 #include "net/world.hpp"
-#include "runline/lines.hpp"
+#include "runline/pool.hpp"
 
 namespace plumkeel::platform {
 
@@ -16,10 +16,10 @@
     Charter charter;
     std::uint64_t seed{};
     std::size_t descriptors{}, memory_mb{};
-    net::Address board;
-    std::vector<board::Event> known;
+    net::Address discovery;
+    std::vector<discovery::Event> known;
     std::uint64_t known_to{};  // the last event in `known`
-    board::Places places;
+    discovery::Places places;
     runline::Sight sight;
 };
 
--- a/src/platform/host.cpp
+++ b/src/platform/host.cpp
@@ -15,38 +15,38 @@
     : world_(world),
       log_(log),
       config_(config),
-      pool_(world),
+      budget_(world),
       gateway_(world, config.charter, log, config.seed,
-               [this](const net::Address& address, gateway::LineCounts& counts) {
-                   return std::make_unique<runline::Lines>(world_, gateway_.charter().lines, config_.sight, address, counts, pool_);
+               [this](const net::Address& address, gateway::ConnectionCounts& counts) {
+                   return std::make_unique<runline::ConnectionPool>(world_, gateway_.charter().pool, config_.sight, address, counts, budget_);
                },
                std::move(recorded)),
       front_(gateway_),
-      board_(world, log, config.places, config.board, config.known_to, [this](const board::Event& event) { told(event); }, config.seed) {
-    gateway_.list_told_by([this] { return board_.told_at(); });
+      watch_(world, log, config.places, config.discovery, config.known_to, [this](const discovery::Event& event) { told(event); }, config.seed) {
+    gateway_.list_told_by([this] { return watch_.told_at(); });
     gateway_.tell_spoilt([this](const std::string& address, const char* why, std::size_t out) {
         log_.line(Log::Level::info, "line_spoilt", {{"invoker", address}, {"why", why}, {"out", out}});
     });
 }
 
 net::Error Host::open() {
-    for (const board::Event& event : config_.known) told(event);
-    board_.follow();
+    for (const discovery::Event& event : config_.known) told(event);
+    watch_.follow();
     gateway_.begin();
     const net::Error error = front_.open();
     if (error) return error;
     const Charter& charter = config_.charter;
     log_.line(Log::Level::info, "serving",
               {{"name", charter.name}, {"listen", charter.listen}, {"controllers", charter.allowances.controllers},
-               {"descriptors", config_.descriptors}, {"client_connections", charter.door.connections},
-               {"lines", charter.lines.most_all}, {"lines_an_invoker", charter.lines.most},
-               {"memory_mb", config_.memory_mb}, {"body_bytes", charter.door.memory_bytes}});
+               {"descriptors", config_.descriptors}, {"client_connections", charter.admission.connections},
+               {"lines", charter.pool.most_all}, {"lines_an_invoker", charter.pool.most},
+               {"memory_mb", config_.memory_mb}, {"body_bytes", charter.admission.memory_bytes}});
     look_at_ = world_.now() + look_every;
     world_.at(look_at_, [this] { look(); });
     return {};
 }
 
-void Host::told(const board::Event& event) {
+void Host::told(const discovery::Event& event) {
     log_.line(Log::Level::info, "list_changed",
               {{"event", event.number}, {"whole", event.whole}, {"entries", event.entries.size()}, {"gone", event.gone.size()}});
     if (!event.entries.empty() || event.whole) gateway_.fleet_told(event.entries, event.whole);
@@ -54,7 +54,7 @@
 }
 
 void Host::reconfigured(const Config& config) {
-    board_.move_to(config.board);
+    watch_.move_to(config.discovery);
 }
 
 void Host::end(std::function<void()> then) {
@@ -80,7 +80,7 @@
     state["descriptors"] = usage.descriptors;
     state["cpu_ms"] = usage.cpu / 1ms;
     state["worst_lag_ms"] = static_cast<double>(std::exchange(worst_lag_, Time{}).count()) / 1000;
-    state["board"] = {{"last", board_.last()}, {"connections", board_.connections()}};
+    state["board"] = {{"last", watch_.last()}, {"connections", watch_.connections()}};
     log_.line(Log::Level::info, "state", std::move(state));
     log_.line(Log::Level::info, "believed", {{"invokers", gateway_.believed()}});
 }
--- a/src/platform/host.hpp
+++ b/src/platform/host.hpp
@@ -2,7 +2,7 @@
 // peers.
 #pragma once
 
-#include "board/board.hpp"
+#include "discovery/watch.hpp"
 #include "fastcgi/front.hpp"
 #include "gateway/gateway.hpp"
 #include "platform/config.hpp"
@@ -19,19 +19,19 @@
     // Clients go on coming for a moment; then the door closes. Calls `then` once every job is answered.
     void end(std::function<void()> then);
     const gateway::Gateway& gateway() const { return gateway_; }
-    const board::Board& board() const { return board_; }
+    const discovery::Watch& watch() const { return watch_; }
 
 private:
-    void told(const board::Event& event);
+    void told(const discovery::Event& event);
     void look();
 
     net::World& world_;
     Log& log_;
     const Config config_;
-    runline::Pool pool_;
+    runline::ConnectionBudget budget_;
     gateway::Gateway gateway_;
     fastcgi::Front front_;
-    board::Board board_;
+    discovery::Watch watch_;
     net::Time look_at_{}, worst_lag_{};
     int looks_{};
     bool ending_{};
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -3,7 +3,7 @@
 #include <csignal>
 #include <iostream>
 
-#include "board/board.hpp"
+#include "discovery/watch.hpp"
 #include "fastcgi/front.hpp"
 #include "gateway/gateway.hpp"
 #include "net/real.hpp"
--- a/src/runline/lines.cpp
+++ b/src/runline/pool.cpp
@@ -1,4 +1,4 @@
-#include "runline/lines.hpp"
+#include "runline/pool.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -15,27 +15,27 @@
 
 constexpr std::size_t read_at_once = 8 * 1024, line_most = 1024;
 
-class Wire : public std::enable_shared_from_this<Wire> {
+class Connection : public std::enable_shared_from_this<Connection> {
 public:
-    explicit Wire(Lines& lines)
-        : lines_(lines),
-          world_(lines.world_),
-          idle_(lines.world_, [this] {
+    explicit Connection(ConnectionPool& pool)
+        : pool_(pool),
+          world_(pool.world_),
+          idle_(pool.world_, [this] {
               if (out_.empty()) close();
           }),
-          half_(lines.world_, [this] { spoilt("half_an_answer"); }) {
-        ++lines_.pool_.open_;
+          half_(pool.world_, [this] { spoilt("half_an_answer"); }) {
+        ++pool_.budget_.open_;
     }
 
-    void start() { world_.spawn(live(shared_from_this(), lines_.address_)); }
+    void start() { world_.spawn(live(shared_from_this(), pool_.address_)); }
 
     void take(const std::shared_ptr<Errand>& errand, std::string id) {
-        Lines::carrier(*errand) = shared_from_this();
+        ConnectionPool::carrier(*errand) = shared_from_this();
         idle_.clear();
-        lines_.pool_.busy(*this);
+        pool_.budget_.busy(*this);
         out_.push_back({std::move(id), errand, unwritten, world_.now()});
         if (outbox_) {
-            ++lines_.counts_.reused;
+            ++pool_.counts_.reused;
             put_on();
         }
     }
@@ -46,7 +46,7 @@
         if (it == out_.end()) return Reached::may_have_run;
         const Placed placed = *it;
         out_.erase(it);
-        Lines::carrier(errand).reset();
+        ConnectionPool::carrier(errand).reset();
         if (placed.whole_at == unwritten) {
             rest();
             return outbox_ ? Reached::not_written : Reached::nothing_connected;
@@ -63,7 +63,7 @@
         alive_ = false;
         idle_.clear();
         half_.clear();
-        lines_.pool_.busy(*this);
+        pool_.budget_.busy(*this);
         if (stream_) {
             stream_->close();
             uncount();
@@ -90,7 +90,7 @@
     void give_back(std::vector<std::shared_ptr<Errand>>& into) {
         std::erase_if(out_, [&](const Placed& placed) {
             if (placed.whole_at != unwritten) return false;
-            Lines::carrier(*placed.errand).reset();
+            ConnectionPool::carrier(*placed.errand).reset();
             into.push_back(placed.errand);
             return true;
         });
@@ -126,7 +126,7 @@
         world_.spawn(put_later(shared_from_this()));
     }
 
-    net::Task<> put_later(std::shared_ptr<Wire>) {
+    net::Task<> put_later(std::shared_ptr<Connection>) {
         co_await outbox_->below(0);
         putting_ = false;
         if (alive_ && !outbox_->broken()) put_on();
@@ -136,10 +136,10 @@
         const Errand& errand = *placed.errand;
         // An invoker can't use a hop without time. Its own limit ends it at this very moment, as never sent.
         if (!errand.light() && errand.until - world_.now() < 1ms) return;
-        Lines::set_state(*placed.errand, Errand::State::out);
+        ConnectionPool::set_state(*placed.errand, Errand::State::out);
         placed.since = world_.now();
         if (errand.light()) {
-            outbox_->send(probe(placed.id, !lines_.sight_.report_fields.empty()));
+            outbox_->send(probe(placed.id, !pool_.sight_.report_fields.empty()));
         } else {
             const gateway::Ward& ward = *errand.ward;
             outbox_->send(run(placed.id, static_cast<const StatedUseCase*>(ward.use_case)->name, ward.function->name, ward.mark,
@@ -150,32 +150,32 @@
         placed.whole_at = outbox_->sent() + outbox_->pending();
     }
 
-    net::Task<> live(std::shared_ptr<Wire> self, net::Address address) {
-        Cause why = Cause::line_broke;
-        auto connected = co_await world_.connect(address, lines_.rules_.connect_within);
+    net::Task<> live(std::shared_ptr<Connection> self, net::Address address) {
+        Cause why = Cause::connection_broke;
+        auto connected = co_await world_.connect(address, pool_.rules_.connect_within);
         if (connected.error) {
-            why = Lines::cause_of(connected.error);
-            if (why == Cause::no_connection) ++lines_.counts_.unreachable;
+            why = ConnectionPool::cause_of(connected.error);
+            if (why == Cause::no_connection) ++pool_.counts_.unreachable;
             alive_ = false;
         } else {
-            ++lines_.counts_.opened;
+            ++pool_.counts_.opened;
             stream_ = std::move(connected.stream);
             if (alive_) co_await talk();
         }
         const bool was_idle = alive_ && out_.empty() && stream_;
-        if (was_idle) ++lines_.counts_.broke_idle;
+        if (was_idle) ++pool_.counts_.broke_idle;
         close();
         alive_ = false;
-        lines_.pool_.busy(*this);
+        pool_.budget_.busy(*this);
         uncount();
         if (stream_) stream_->close();
         const auto ends = std::exchange(out_, {});
         const std::size_t sent = outbox_ ? outbox_->sent() : 0;
-        lines_.wire_gone(self);
+        pool_.connection_gone(self);
         for (const Placed& placed : ends) {
-            Lines::carrier(*placed.errand).reset();
+            ConnectionPool::carrier(*placed.errand).reset();
             const Reached reached = !outbox_ ? Reached::nothing_connected : sent >= placed.whole_at ? Reached::may_have_run : Reached::not_written;
-            lines_.end(placed.errand, proof::ending_of(reached, why));
+            pool_.end(placed.errand, proof::ending_of(reached, why));
         }
     }
 
@@ -184,7 +184,7 @@
         heard_ = world_.now();
         put_on();
         rest();
-        Reader reader(line_most, lines_.rules_.answer_held);
+        Reader reader(line_most, pool_.rules_.answer_held);
         std::vector<char> room(read_at_once);
         Answer answer;
         while (alive_) {
@@ -199,7 +199,7 @@
             if (!reader.midway())
                 half_.clear();
             else if (!half_.is_set())
-                half_.set(world_.now() + lines_.rules_.answer_within);
+                half_.set(world_.now() + pool_.rules_.answer_within);
         }
     }
 
@@ -207,48 +207,48 @@
     void answered(Answer& answer) {
         const auto it = std::find_if(out_.begin(), out_.end(), [&](const Placed& p) { return p.id == answer.id; });
         if (it == out_.end()) {
-            ++lines_.counts_.late;
+            ++pool_.counts_.late;
             return;
         }
         const auto errand = it->errand;
         const bool of_probe = answer.word == "well" || answer.word == "ill";
         if (errand->light() != of_probe) return spoilt("wrong_word");
         out_.erase(it);
-        Lines::carrier(*errand).reset();
+        ConnectionPool::carrier(*errand).reset();
         gateway::Outcome outcome;
         outcome.ending = of_probe ? (answer.word == "well" ? Ending::honoured : Ending::errored) : ending_of(answer.word);
         outcome.note = note_of(answer.fields);
-        outcome.company = lines_.sight_.says_company ? company_of(answer.fields) : 0;
-        outcome.report = report_of(answer.fields, lines_.sight_.report_fields);
+        outcome.company = pool_.sight_.says_company ? company_of(answer.fields) : 0;
+        outcome.report = report_of(answer.fields, pool_.sight_.report_fields);
         outcome.status = 200;
         outcome.body = std::move(answer.body);
         rest();
-        lines_.end(errand, std::move(outcome));
-        if (alive_) lines_.wire_free();
+        pool_.end(errand, std::move(outcome));
+        if (alive_) pool_.connection_free();
     }
 
     void spoilt(const char* why) {
         if (!alive_) return;
-        ++lines_.counts_.spoilt;
-        if (lines_.counts_.tell_spoilt) lines_.counts_.tell_spoilt(lines_.address_.text(), why, out_.size());
+        ++pool_.counts_.spoilt;
+        if (pool_.counts_.tell_spoilt) pool_.counts_.tell_spoilt(pool_.address_.text(), why, out_.size());
         close();
     }
 
     void rest() {
         if (!out_.empty() || !alive_) return;
         if (retired_) return close();
-        idle_.set(world_.now() + lines_.rules_.idle_for);
-        if (outbox_) lines_.pool_.idles(*this);
+        idle_.set(world_.now() + pool_.rules_.idle_for);
+        if (outbox_) pool_.budget_.idles(*this);
     }
 
     // Once, when its descriptor is free.
     void uncount() {
         if (!std::exchange(counted_, false)) return;
-        --lines_.pool_.open_;
-        lines_.pool_.serve_soon();
+        --pool_.budget_.open_;
+        pool_.budget_.serve_soon();
     }
 
-    Lines& lines_;
+    ConnectionPool& pool_;
     net::World& world_;
     bool alive_ = true, retired_{}, counted_ = true, putting_{};
     std::shared_ptr<net::Stream> stream_;
@@ -260,140 +260,140 @@
 
 // ---------------------------------------------------------------- the pool
 
-bool Pool::evict() {
+bool ConnectionBudget::evict() {
     if (idle_.empty()) return false;
     idle_.front()->close();
     return true;
 }
 
-void Pool::idles(Wire& wire) {
-    busy(wire);
-    idle_.push_back(&wire);
+void ConnectionBudget::idles(Connection& connection) {
+    busy(connection);
+    idle_.push_back(&connection);
     serve_soon();
 }
 
-void Pool::busy(Wire& wire) {
-    std::erase(idle_, &wire);
+void ConnectionBudget::busy(Connection& connection) {
+    std::erase(idle_, &connection);
 }
 
-void Pool::wait(Lines& lines) {
-    if (std::find(waiting_.begin(), waiting_.end(), &lines) == waiting_.end()) waiting_.push_back(&lines);
+void ConnectionBudget::wait(ConnectionPool& pool) {
+    if (std::find(waiting_.begin(), waiting_.end(), &pool) == waiting_.end()) waiting_.push_back(&pool);
 }
 
 // At the next turn, since whoever frees a connection may be in the middle of its own work.
-void Pool::serve_soon() {
+void ConnectionBudget::serve_soon() {
     if (waiting_.empty() || serving_.second) return;
     serving_ = world_.at(world_.now(), [this] {
         serving_ = {};
         for (std::size_t turns = waiting_.size(); turns > 0 && !waiting_.empty(); --turns) {
-            Lines* const next = waiting_.front();
+            ConnectionPool* const next = waiting_.front();
             waiting_.pop_front();
-            next->wire_free();
+            next->connection_free();
         }
     });
 }
 
 // ---------------------------------------------------------------- the connections to one invoker
 
-Lines::Lines(net::World& world, const LineRules& rules, const Sight& sight, net::Address address, gateway::LineCounts& counts,
-             Pool& pool)
-    : gateway::Lines(world), rules_(rules), sight_(sight), address_(std::move(address)), counts_(counts), pool_(pool) {}
+ConnectionPool::ConnectionPool(net::World& world, const PoolRules& rules, const Sight& sight, net::Address address, gateway::ConnectionCounts& counts,
+             ConnectionBudget& budget)
+    : gateway::ConnectionPool(world), rules_(rules), sight_(sight), address_(std::move(address)), counts_(counts), budget_(budget) {}
 
-Lines::~Lines() {
-    pool_.left(*this);
+ConnectionPool::~ConnectionPool() {
+    budget_.left(*this);
 }
 
-bool Lines::carry(const std::shared_ptr<Errand>& errand) {
+bool ConnectionPool::carry(const std::shared_ptr<Errand>& errand) {
     if (dispatch(errand)) return true;
     if (queue_.size() >= rules_.queued) return false;
     queue_.push_back(errand);
-    pool_.wait(*this);
+    budget_.wait(*this);
     return true;
 }
 
-std::string Lines::id_of(const Errand& errand) {
+std::string ConnectionPool::id_of(const Errand& errand) {
     return errand.light() ? "p" + std::to_string(++tags_) : errand.ward->name;
 }
 
 // The connection that bears least, or a new one while there may be more. A probe asks the one that has been silent
 // longest while something is out on it: it is the one in doubt.
-std::shared_ptr<Wire> Lines::choose(const Errand& errand) {
-    std::shared_ptr<Wire> best;
+std::shared_ptr<Connection> ConnectionPool::choose(const Errand& errand) {
+    std::shared_ptr<Connection> best;
     std::size_t takers = 0;  // what only waits for its last answers, at an earlier address, stands in nobody's way
-    for (const auto& wire : wires_) {
-        if (!wire->takes()) continue;
+    for (const auto& connection : connections_) {
+        if (!connection->takes()) continue;
         ++takers;
         if (errand.light()) {
-            if (!best || (wire->load() > 0 && (best->load() == 0 || wire->heard() < best->heard()))) best = wire;
+            if (!best || (connection->load() > 0 && (best->load() == 0 || connection->heard() < best->heard()))) best = connection;
             continue;
         }
-        if (wire->load() >= rules_.hops_a_line || wire->bears(errand.ward->name)) continue;
-        if (!best || wire->load() < best->load()) best = wire;
+        if (connection->load() >= rules_.hops_a_connection || connection->bears(errand.ward->name)) continue;
+        if (!best || connection->load() < best->load()) best = connection;
     }
-    const bool room = pool_.open() < rules_.most_all;
+    const bool room = budget_.open() < rules_.most_all;
     const bool new_one = !best || (!errand.light() && best->load() > 0);
-    if (new_one && takers < rules_.most && (room || (takers == 0 && pool_.evict()))) {
-        best = wires_.emplace_back(std::make_shared<Wire>(*this));
+    if (new_one && takers < rules_.most && (room || (takers == 0 && budget_.evict()))) {
+        best = connections_.emplace_back(std::make_shared<Connection>(*this));
         best->start();
     }
     return best;
 }
 
-bool Lines::dispatch(const std::shared_ptr<Errand>& errand) {
-    const auto wire = choose(*errand);
-    if (!wire) return false;
-    wire->take(errand, id_of(*errand));
+bool ConnectionPool::dispatch(const std::shared_ptr<Errand>& errand) {
+    const auto connection = choose(*errand);
+    if (!connection) return false;
+    connection->take(errand, id_of(*errand));
     return true;
 }
 
-void Lines::wire_free() {
+void ConnectionPool::connection_free() {
     while (!queue_.empty()) {
         const auto errand = queue_.front();
         if (errand->state() != Errand::State::ended && !dispatch(errand)) {
-            pool_.wait(*this);
+            budget_.wait(*this);
             return;
         }
         queue_.pop_front();
     }
 }
 
-void Lines::wire_gone(const std::shared_ptr<Wire>& wire) {
-    std::erase(wires_, wire);
-    wire_free();
+void ConnectionPool::connection_gone(const std::shared_ptr<Connection>& connection) {
+    std::erase(connections_, connection);
+    connection_free();
 }
 
-Reached Lines::take_off(Errand& errand, Cause cause) {
-    if (const auto wire = std::static_pointer_cast<Wire>(carrier(errand))) return wire->take_off(errand, cause);
+Reached ConnectionPool::take_off(Errand& errand, Cause cause) {
+    if (const auto connection = std::static_pointer_cast<Connection>(carrier(errand))) return connection->take_off(errand, cause);
     std::erase(queue_, errand.shared_from_this());
     return Reached::not_written;
 }
 
-void Lines::withdraw() {
+void ConnectionPool::withdraw() {
     std::vector<std::shared_ptr<Errand>> unsent;
     for (const auto& errand : queue_)
         if (!errand->light()) unsent.push_back(errand);
-    for (const auto& wire : wires_) wire->unsent(unsent);
+    for (const auto& connection : connections_) connection->unsent(unsent);
     for (const auto& errand : unsent) stop(*errand, Cause::withdrawn);
 }
 
-void Lines::move_to(net::Address address) {
+void ConnectionPool::move_to(net::Address address) {
     if (address == address_) return;
     address_ = std::move(address);
     // Another may be at the old address by now, also where a connection to it is still coming up.
     std::vector<std::shared_ptr<Errand>> unsent;
-    for (const auto& wire : wires_) wire->give_back(unsent);
+    for (const auto& connection : connections_) connection->give_back(unsent);
     close();
     for (const auto& errand : unsent)
         if (!carry(errand)) end_soon(errand, Ending::never_sent);
 }
 
-void Lines::close() {
-    for (const auto& wire : std::vector(wires_)) wire->retire();
+void ConnectionPool::close() {
+    for (const auto& connection : std::vector(connections_)) connection->retire();
 }
 
-std::size_t Lines::out() const {
+std::size_t ConnectionPool::out() const {
     std::size_t n = 0;
-    for (const auto& wire : wires_) n += wire->hops();
+    for (const auto& connection : connections_) n += connection->hops();
     return n;
 }
 
--- a/src/runline/lines.hpp
+++ b/src/runline/pool.hpp
@@ -23,67 +23,67 @@
     bool says_company{};
 };
 
-class Wire;
-class Lines;
+class Connection;
+class ConnectionPool;
 
 // The connections to all invokers together, which rules.most_all bounds. When they are used up, an invoker without
 // one takes the place of the connection that has idled longest: nothing is owed on it. Where none idles, invokers
 // wait here in turn for the first that does.
-class Pool {
+class ConnectionBudget {
 public:
-    explicit Pool(net::World& world) : world_(world) {}
-    ~Pool() { world_.drop(serving_); }
-    Pool(const Pool&) = delete;
-    Pool& operator=(const Pool&) = delete;
+    explicit ConnectionBudget(net::World& world) : world_(world) {}
+    ~ConnectionBudget() { world_.drop(serving_); }
+    ConnectionBudget(const ConnectionBudget&) = delete;
+    ConnectionBudget& operator=(const ConnectionBudget&) = delete;
 
     std::size_t open() const { return open_; }
     bool evict();  // false: all are in use
 
 private:
-    friend class Wire;
-    friend class Lines;
-    void idles(Wire& wire);
-    void busy(Wire& wire);
-    void wait(Lines& lines);
-    void left(Lines& lines) { std::erase(waiting_, &lines); }
+    friend class Connection;
+    friend class ConnectionPool;
+    void idles(Connection& connection);
+    void busy(Connection& connection);
+    void wait(ConnectionPool& pool);
+    void left(ConnectionPool& pool) { std::erase(waiting_, &pool); }
     void serve_soon();
 
     net::World& world_;
     std::size_t open_{};
-    std::vector<Wire*> idle_;  // the one that has idled longest first
-    std::deque<Lines*> waiting_;
+    std::vector<Connection*> idle_;  // the one that has idled longest first
+    std::deque<ConnectionPool*> waiting_;
     net::World::Ticket serving_{};
 };
 
-class Lines : public gateway::Lines {
+class ConnectionPool : public gateway::ConnectionPool {
 public:
-    Lines(net::World& world, const LineRules& rules, const Sight& sight, net::Address address, gateway::LineCounts& counts, Pool& pool);
-    ~Lines() override;
+    ConnectionPool(net::World& world, const PoolRules& rules, const Sight& sight, net::Address address, gateway::ConnectionCounts& counts, ConnectionBudget& budget);
+    ~ConnectionPool() override;
 
     void withdraw() override;
     void move_to(net::Address address) override;
     void close() override;
-    std::size_t open() const override { return wires_.size(); }
+    std::size_t open() const override { return connections_.size(); }
     std::size_t waiting() const override { return queue_.size(); }
     std::size_t out() const override;
 
 private:
-    friend class Wire;
-    friend class Pool;
+    friend class Connection;
+    friend class ConnectionBudget;
     bool carry(const std::shared_ptr<Errand>& errand) override;
     proof::Reached take_off(Errand& errand, proof::Cause cause) override;
     bool dispatch(const std::shared_ptr<Errand>& errand);
-    std::shared_ptr<Wire> choose(const Errand& errand);
+    std::shared_ptr<Connection> choose(const Errand& errand);
     std::string id_of(const Errand& errand);
-    void wire_free();
-    void wire_gone(const std::shared_ptr<Wire>& wire);
+    void connection_free();
+    void connection_gone(const std::shared_ptr<Connection>& connection);
 
-    const LineRules& rules_;
+    const PoolRules& rules_;
     const Sight& sight_;
     net::Address address_;
-    gateway::LineCounts& counts_;
-    Pool& pool_;
-    std::vector<std::shared_ptr<Wire>> wires_;
+    gateway::ConnectionCounts& counts_;
+    ConnectionBudget& budget_;
+    std::vector<std::shared_ptr<Connection>> connections_;
     std::deque<std::shared_ptr<Errand>> queue_;
     std::uint64_t tags_{};
 };
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -67,7 +67,7 @@
     out.connect_within = span(limits, "connect_timeout", milliseconds(250));
     out.idle_for = span(limits, "conn_idle", milliseconds(30'000));
     out.order_within = span(family, "answer_within", milliseconds(10'000));
-    out.hops_a_line = static_cast<std::size_t>(std::max(1, get<int>(limits, "streams_per_conn", 1)));
+    out.hops_a_connection = static_cast<std::size_t>(std::max(1, get<int>(limits, "streams_per_conn", 1)));
     return out;
 }
 
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -22,7 +22,7 @@
     // Sockets alone ask for these.
     std::vector<std::string> zones, kinds;
     Time connect_within{}, idle_for{}, order_within{}, longest_wait{};
-    std::size_t hops_a_line{};
+    std::size_t hops_a_connection{};
 };
 
 // Throws Fault, naming the field.
--- a/src/web/lines.cpp
+++ b/src/web/pool.cpp
@@ -1,4 +1,4 @@
-#include "web/lines.hpp"
+#include "web/pool.hpp"
 
 #include <fmt/format.h>
 
@@ -18,18 +18,18 @@
 using proof::ending_of;
 using proof::Reached;
 
-constexpr std::size_t light_lines = 2;  // past the cap, for probes and orders
+constexpr std::size_t light_connections = 2;  // past the cap, for probes and orders
 
-class Line : public std::enable_shared_from_this<Line> {
+class Connection : public std::enable_shared_from_this<Connection> {
 public:
-    explicit Line(Lines& lines)
-        : lines_(lines), world_(lines.world_), idle_(lines.world_, [this] {
+    explicit Connection(ConnectionPool& pool)
+        : pool_(pool), world_(pool.world_), idle_(pool.world_, [this] {
               if (!errand_) close();
           }) {}
 
     void start(std::shared_ptr<Errand> errand) {
         take(std::move(errand));
-        world_.spawn(live(shared_from_this(), lines_.address_));
+        world_.spawn(live(shared_from_this(), pool_.address_));
     }
 
     // Puts the errand's bytes on an idle line. False: it turned out closed, and nothing of it was written.
@@ -41,7 +41,7 @@
         }
         take(errand);
         if (put()) {
-            ++lines_.counts_.reused;
+            ++pool_.counts_.reused;
             return true;
         }
         let_go();
@@ -62,7 +62,7 @@
     }
 
     std::shared_ptr<Errand> let_go() {
-        if (errand_) Lines::carrier(*errand_).reset();
+        if (errand_) ConnectionPool::carrier(*errand_).reset();
         return std::exchange(errand_, nullptr);
     }
 
@@ -73,32 +73,32 @@
 
     bool bears_hop() const { return errand_ && !errand_->light(); }
 
-    void rest() { idle_.set(world_.now() + lines_.rules_.idle_for); }
+    void rest() { idle_.set(world_.now() + pool_.rules_.idle_for); }
 
 private:
     void take(std::shared_ptr<Errand> errand) {
         errand_ = std::move(errand);
-        Lines::carrier(*errand_) = shared_from_this();
-        Lines::set_state(*errand_, Errand::State::out);
+        ConnectionPool::carrier(*errand_) = shared_from_this();
+        ConnectionPool::set_state(*errand_, Errand::State::out);
     }
 
     bool put() {
         sent_before_ = outbox_->sent();
-        outbox_->send(lines_.head_of(*errand_), errand_->ward ? errand_->ward->body : nullptr);
+        outbox_->send(pool_.head_of(*errand_), errand_->ward ? errand_->ward->body : nullptr);
         return !outbox_->broken() || outbox_->sent() > sent_before_;
     }
 
-    net::Task<> live(std::shared_ptr<Line> self, net::Address address) {
-        auto connected = co_await world_.connect(address, lines_.rules_.connect_within);
+    net::Task<> live(std::shared_ptr<Connection> self, net::Address address) {
+        auto connected = co_await world_.connect(address, pool_.rules_.connect_within);
         if (connected.error) {
-            const Cause why = Lines::cause_of(connected.error);
-            if (why == Cause::no_connection) ++lines_.counts_.unreachable;
+            const Cause why = ConnectionPool::cause_of(connected.error);
+            if (why == Cause::no_connection) ++pool_.counts_.unreachable;
             alive_ = false;
-            if (const auto errand = let_go()) lines_.end(errand, ending_of(Reached::nothing_connected, why));
-            lines_.line_gone(self);
+            if (const auto errand = let_go()) pool_.end(errand, ending_of(Reached::nothing_connected, why));
+            pool_.connection_gone(self);
             co_return;
         }
-        ++lines_.counts_.opened;
+        ++pool_.counts_.opened;
         stream_ = std::move(connected.stream);
         outbox_ = std::make_shared<net::Outbox>(world_, stream_);
         http::Inbox inbox(stream_, 256 * 1024);
@@ -108,14 +108,14 @@
             while (alive_) {
                 const bool on = co_await answer(inbox);
                 if (!on || !alive_) break;
-                if (!errand_) lines_.line_free(self);
+                if (!errand_) pool_.connection_free(self);
             }
         }
         const bool was_idle = alive_ && !errand_;
         close();
-        if (was_idle) ++lines_.counts_.broke_idle;
-        if (const auto errand = let_go()) lines_.end(errand, ending_of(reached(), Cause::line_broke));
-        lines_.line_gone(self);
+        if (was_idle) ++pool_.counts_.broke_idle;
+        if (const auto errand = let_go()) pool_.end(errand, ending_of(reached(), Cause::connection_broke));
+        pool_.connection_gone(self);
     }
 
     // Reads one answer and ends its errand. False: the line can't be used further.
@@ -144,12 +144,12 @@
                 protocol::read_own(parser.get(), &passed);
                 if (!errand_->begins(parser.get().result_int(), passed)) {
                     const auto errand = let_go();
-                    lines_.end(errand, Ending::called_off);
+                    pool_.end(errand, Ending::called_off);
                     co_return false;
                 }
                 streaming = true;
-                Lines::set_state(*errand_, Errand::State::streaming);
-                lines_.unlimit(*errand_);
+                ConnectionPool::set_state(*errand_, Errand::State::streaming);
+                pool_.unlimit(*errand_);
             }
             if (streaming && !parser.get().body().empty()) {
                 errand_->part(std::exchange(parser.get().body(), {}));
@@ -171,7 +171,7 @@
         if (protocol::ending_of(message.result_int(), http::field(message, protocol::field::never_ran)) != Ending::honoured)
             return false;
         const auto length = parser.content_length();
-        return message.body().size() > lines_.rules_.answer_held || (length && *length > lines_.rules_.answer_held);
+        return message.body().size() > pool_.rules_.answer_held || (length && *length > pool_.rules_.answer_held);
     }
 
     template <class Parser>
@@ -185,10 +185,10 @@
         outcome.copies = std::clamp(http::number<int>(own.copies).value_or(0), 0, 1000);
         outcome.report = orca::read(own.report);
         outcome.body = std::move(parser.get().body());
-        lines_.end(let_go(), std::move(outcome));
+        pool_.end(let_go(), std::move(outcome));
     }
 
-    Lines& lines_;
+    ConnectionPool& pool_;
     net::World& world_;
     bool alive_ = true;
     std::shared_ptr<net::Stream> stream_;
@@ -198,12 +198,12 @@
     net::Limit idle_;  // how long it may lie unused
 };
 
-Lines::Lines(net::World& world, const LineRules& rules, net::Address address, gateway::LineCounts& counts, std::string teller)
-    : gateway::Lines(world), rules_(rules), address_(std::move(address)), counts_(counts), teller_(std::move(teller)) {}
+ConnectionPool::ConnectionPool(net::World& world, const PoolRules& rules, net::Address address, gateway::ConnectionCounts& counts, std::string teller)
+    : gateway::ConnectionPool(world), rules_(rules), address_(std::move(address)), counts_(counts), teller_(std::move(teller)) {}
 
-Lines::~Lines() = default;
+ConnectionPool::~ConnectionPool() = default;
 
-bool Lines::carry(const std::shared_ptr<Errand>& errand) {
+bool ConnectionPool::carry(const std::shared_ptr<Errand>& errand) {
     if (dispatch(errand)) return true;
     if (queue_.size() >= rules_.queued) return false;
     queue_.push_back(errand);
@@ -211,7 +211,7 @@
 }
 
 // A hop's head differs from hop to hop in its first lines alone; the rest is written once for each job.
-std::string Lines::head_of(Errand& errand) const {
+std::string ConnectionPool::head_of(Errand& errand) const {
     switch (errand.kind) {
         case Errand::Kind::probe:
             return fmt::format("GET /v1/load HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n\r\n", errand.invoker, field::controller, teller_);
@@ -241,27 +241,27 @@
 }
 
 // Puts the errand on an idle line or a new one; false where it has to wait for one.
-bool Lines::dispatch(const std::shared_ptr<Errand>& errand) {
-    while (!idle_.empty() && !errand->fresh_line) {
-        const auto line = idle_.back();
+bool ConnectionPool::dispatch(const std::shared_ptr<Errand>& errand) {
+    while (!idle_.empty() && !errand->fresh_connection) {
+        const auto connection = idle_.back();
         idle_.pop_back();
-        if (line->carry(errand)) return true;
+        if (connection->carry(errand)) return true;
     }
-    if (lines_.size() >= rules_.most + (errand->light() ? light_lines : 0)) {
-        if (errand->fresh_line && !idle_.empty()) {  // an idle line makes way for a new one
+    if (connections_.size() >= rules_.most + (errand->light() ? light_connections : 0)) {
+        if (errand->fresh_connection && !idle_.empty()) {  // an idle line makes way for a new one
             idle_.front()->close();
             idle_.erase(idle_.begin());
         }
         return false;
     }
-    lines_.push_back(std::make_shared<Line>(*this));
-    lines_.back()->start(errand);
+    connections_.push_back(std::make_shared<Connection>(*this));
+    connections_.back()->start(errand);
     return true;
 }
 
-void Lines::line_free(const std::shared_ptr<Line>& line) {
-    idle_.push_back(line);
-    line->rest();
+void ConnectionPool::connection_free(const std::shared_ptr<Connection>& connection) {
+    idle_.push_back(connection);
+    connection->rest();
     while (!queue_.empty()) {
         const auto errand = queue_.front();
         if (errand->state() == Errand::State::ended) {
@@ -273,9 +273,9 @@
     }
 }
 
-void Lines::line_gone(const std::shared_ptr<Line>& line) {
-    std::erase(lines_, line);
-    std::erase(idle_, line);
+void ConnectionPool::connection_gone(const std::shared_ptr<Connection>& connection) {
+    std::erase(connections_, connection);
+    std::erase(idle_, connection);
     while (!queue_.empty()) {
         const auto errand = queue_.front();
         if (errand->state() != Errand::State::ended && !dispatch(errand)) break;
@@ -284,38 +284,38 @@
 }
 
 // What is on a line takes the line with it.
-Reached Lines::take_off(Errand& errand, Cause) {
+Reached ConnectionPool::take_off(Errand& errand, Cause) {
     Reached reached = Reached::not_written;
-    if (const auto line = std::static_pointer_cast<Line>(carrier(errand))) {
-        reached = line->reached();
-        line->let_go();
-        line->close();
+    if (const auto connection = std::static_pointer_cast<Connection>(carrier(errand))) {
+        reached = connection->reached();
+        connection->let_go();
+        connection->close();
     }
     std::erase(queue_, errand.shared_from_this());
     return reached;
 }
 
-void Lines::withdraw() {
+void ConnectionPool::withdraw() {
     std::vector<std::shared_ptr<Errand>> unsent;
     for (const auto& errand : queue_)
         if (!errand->light()) unsent.push_back(errand);
-    for (const auto& line : lines_)
-        if (const auto errand = line->unsent()) unsent.push_back(errand);
+    for (const auto& connection : connections_)
+        if (const auto errand = connection->unsent()) unsent.push_back(errand);
     for (const auto& errand : unsent) stop(*errand, Cause::withdrawn);
 }
 
-void Lines::move_to(net::Address address) {
+void ConnectionPool::move_to(net::Address address) {
     if (address == address_) return;
     address_ = std::move(address);
-    for (const auto& line : std::exchange(idle_, {})) line->close();
+    for (const auto& connection : std::exchange(idle_, {})) connection->close();
 }
 
-void Lines::close() {
-    for (const auto& line : std::exchange(idle_, {})) line->close();
+void ConnectionPool::close() {
+    for (const auto& connection : std::exchange(idle_, {})) connection->close();
 }
 
-std::size_t Lines::out() const {
-    return static_cast<std::size_t>(std::count_if(lines_.begin(), lines_.end(), [](const auto& line) { return line->bears_hop(); }));
+std::size_t ConnectionPool::out() const {
+    return static_cast<std::size_t>(std::count_if(connections_.begin(), connections_.end(), [](const auto& connection) { return connection->bears_hop(); }));
 }
 
 }  // namespace plumkeel::web
--- a/src/web/lines.hpp
+++ b/src/web/pool.hpp
@@ -16,35 +16,35 @@
 using gateway::Errand;
 using gateway::Outcome;
 
-class Line;
+class Connection;
 
-class Lines : public gateway::Lines {
+class ConnectionPool : public gateway::ConnectionPool {
 public:
     // `teller`: how the controller is named to invokers.
-    Lines(net::World& world, const LineRules& rules, net::Address address, gateway::LineCounts& counts, std::string teller);
-    ~Lines() override;
+    ConnectionPool(net::World& world, const PoolRules& rules, net::Address address, gateway::ConnectionCounts& counts, std::string teller);
+    ~ConnectionPool() override;
 
     void withdraw() override;
     void move_to(net::Address address) override;
     void close() override;
-    std::size_t open() const override { return lines_.size(); }
+    std::size_t open() const override { return connections_.size(); }
     std::size_t waiting() const override { return queue_.size(); }
     std::size_t out() const override;
 
 private:
-    friend class Line;
+    friend class Connection;
     bool carry(const std::shared_ptr<Errand>& errand) override;
     proof::Reached take_off(Errand& errand, proof::Cause cause) override;
     std::string head_of(Errand& errand) const;
     bool dispatch(const std::shared_ptr<Errand>& errand);
-    void line_free(const std::shared_ptr<Line>& line);
-    void line_gone(const std::shared_ptr<Line>& line);
+    void connection_free(const std::shared_ptr<Connection>& connection);
+    void connection_gone(const std::shared_ptr<Connection>& connection);
 
-    const LineRules& rules_;
+    const PoolRules& rules_;
     net::Address address_;
-    gateway::LineCounts& counts_;
+    gateway::ConnectionCounts& counts_;
     const std::string teller_;
-    std::vector<std::shared_ptr<Line>> lines_, idle_;
+    std::vector<std::shared_ptr<Connection>> connections_, idle_;
     std::deque<std::shared_ptr<Errand>> queue_;
 };
 
--- a/src/web/service.cpp
+++ b/src/web/service.cpp
@@ -4,7 +4,7 @@
 #include <array>
 
 #include "http/http.hpp"
-#include "web/lines.hpp"
+#include "web/pool.hpp"
 #include "web/protocol.hpp"
 #include "web/visit.hpp"
 
@@ -19,8 +19,8 @@
     : world_(world),
       log_(log),
       gateway_(world, std::move(charter), log, seed,
-               [this](const net::Address& address, gateway::LineCounts& counts) {
-                   return std::make_unique<Lines>(world_, gateway_.charter().lines, address, counts, gateway_.incarnation());
+               [this](const net::Address& address, gateway::ConnectionCounts& counts) {
+                   return std::make_unique<ConnectionPool>(world_, gateway_.charter().pool, address, counts, gateway_.incarnation());
                },
                std::move(recorded)),
       roster_(world, gateway_.charter().list, gateway_.incarnation(), log, seed,
@@ -54,13 +54,13 @@
             // Nearly always for want of descriptors. The connection stays in the backlog, so accepting at
             // once again would spin.
             log_.line(Log::Level::error, "accept_broke", {{"why", accepted.error.message()}});
-            co_await world_.sleep(gateway_.door().no_descriptors());
+            co_await world_.sleep(gateway_.admission().no_descriptors());
             continue;
         }
-        gateway_.door().accepted();
-        const Objection objection = gateway_.door().connection_came();
+        gateway_.admission().accepted();
+        const Objection objection = gateway_.admission().connection_came();
         if (objection != Objection::none) {
-            gateway_.door().count(objection);
+            gateway_.admission().count(objection);
             world_.spawn(turn_back(std::move(accepted.stream), objection));
             continue;
         }
@@ -101,7 +101,7 @@
 
 void Service::close(std::function<void()> then) {
     then_ = std::move(then);
-    gateway_.door().close();
+    gateway_.admission().close();
     if (listener_) listener_->close();
     const auto visits = visits_;
     for (const auto& [number, visit] : visits) visit->go_if_idle();
@@ -119,7 +119,7 @@
 }
 
 void Service::visit_gone(const std::shared_ptr<Visit>& visit) {
-    if (visits_.erase(visit->number())) gateway_.door().connection_left();
+    if (visits_.erase(visit->number())) gateway_.admission().connection_left();
     see_whether_done();
 }
 
--- a/src/web/visit.cpp
+++ b/src/web/visit.cpp
@@ -53,8 +53,8 @@
 // From a job's head to its answer. False: the connection is done with.
 net::Task<bool> Visit::one_job() {
     Parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(gateway_.door().rules().head_bytes));
-    parser.body_limit(gateway_.door().rules().body_bytes);
+    parser.header_limit(static_cast<std::uint32_t>(gateway_.admission().rules().head_bytes));
+    parser.body_limit(gateway_.admission().rules().body_bytes);
     bool nobody = false;
     Objection objection = co_await read_head(parser, nobody);
     if (nobody || leaving_) co_return false;
@@ -77,7 +77,7 @@
         else if (path[1] == "status")
             say_plain(200, "application/json", boost::json::serialize(service_.status()) + "\n");
         else
-            say_plain(gateway_.door().closing() ? 503 : 200, "text/plain", gateway_.door().closing() ? "closing\n" : "ok\n");
+            say_plain(gateway_.admission().closing() ? 503 : 200, "text/plain", gateway_.admission().closing() ? "closing\n" : "ok\n");
         co_return !leaving_;
     }
     Wanted wanted;
@@ -86,12 +86,12 @@
     else
         wanted.function = path[2];
     if (objection == Objection::none) objection = understand(parser, wanted);
-    if (objection == Objection::none) objection = gateway_.door().head_read(parser.content_length().value_or(0));
-    HeldBytes held(gateway_.door());
+    if (objection == Objection::none) objection = gateway_.admission().head_read(parser.content_length().value_or(0));
+    HeldBytes held(gateway_.admission());
     if (objection == Objection::none) objection = co_await read_body(parser, nobody, held);
     if (nobody || leaving_) co_return false;
     if (objection == Objection::none) objection = held.grow_to(parser.get().body().size());
-    if (objection == Objection::none) objection = gateway_.door().job_came();
+    if (objection == Objection::none) objection = gateway_.admission().job_came();
     if (objection != Objection::none) {
         object(objection);
         co_return false;
@@ -103,7 +103,7 @@
 }
 
 net::Task<Objection> Visit::read_head(Parser& parser, bool& nobody) {
-    const auto& rules = gateway_.door().rules();
+    const auto& rules = gateway_.admission().rules();
     co_await outbox_->below(64 * 1024);  // who reads no answers gets no further jobs in
     bool begun = false;
     if (inbox_.held() == 0) bound(rules.idle_for, Objection::none);
@@ -152,25 +152,25 @@
             co_return error == bh::error::body_limit ? Objection::body_too_big : Objection::malformed;
         const Objection full = held.grow_to(parser.get().body().size());
         if (full != Objection::none) co_return full;
-        const auto slow = gateway_.door().pace(since, world().now(), parser.get().body().size());
+        const auto slow = gateway_.admission().pace(since, world().now(), parser.get().body().size());
         if (slow != Objection::none && !parser.is_done()) co_return slow;
     }
     co_return Objection::none;
 }
 
 Objection Visit::understand(const Parser& parser, Wanted& wanted) const {
-    const Door& door = gateway_.door();
+    const Admission& admission = gateway_.admission();
     const protocol::OwnFields own = protocol::read_own(parser.get(), &wanted.passed);
-    if (door.name(wanted.function) != Objection::none) return Objection::bad_function;
+    if (admission.name(wanted.function) != Objection::none) return Objection::bad_function;
     const auto use = gateway_.charter().use_cases.find(own.use_case);
     if (use == gateway_.charter().use_cases.end()) return Objection::no_such_use_case;
     wanted.use_case = &use->second;
     wanted.tenant = own.tenant;
     wanted.mark = own.mark;
     if (use->second.repeat == Repeat::referenced && wanted.mark.empty()) return Objection::mark_missing;
-    if (wanted.mark.size() > door.rules().name_bytes || wanted.tenant.size() > door.rules().name_bytes)
+    if (wanted.mark.size() > admission.rules().name_bytes || wanted.tenant.size() > admission.rules().name_bytes)
         return Objection::bad_field;
-    if (const auto off = door.time_left(own.time_left, wanted.left); off != Objection::none) return off;
+    if (const auto off = admission.time_left(own.time_left, wanted.left); off != Objection::none) return off;
     bool good = true;
     auto figure = [&](std::string_view digits, int most) -> std::optional<int> {
         if (digits.empty()) return {};
@@ -218,7 +218,7 @@
         head.add(field::retry_after_ms, ward.retry_after / 1ms);
     }
     head.lines(passed).add("Content-Length", static_cast<std::int64_t>(body.size()));
-    const bool last = !keep_ || gateway_.door().closing();
+    const bool last = !keep_ || gateway_.admission().closing();
     if (last) head.add("Connection", "close");
     outbox_->send(head.done(), std::make_shared<const std::string>(std::move(body)));
     ward_ = nullptr;
@@ -226,7 +226,7 @@
     if (last)
         bow_out();
     else
-        bound(gateway_.door().rules().idle_for, Objection::none);
+        bound(gateway_.admission().rules().idle_for, Objection::none);
     answered_.fire();
 }
 
@@ -239,7 +239,7 @@
         head.add("Transfer-Encoding", "chunked");
     else
         keep_ = false;  // an older client knows the end by the connection's
-    if (!keep_ || gateway_.door().closing()) head.add("Connection", "close");
+    if (!keep_ || gateway_.admission().closing()) head.add("Connection", "close");
     outbox_->send(head.done());
     watch_reading();
 }
@@ -260,24 +260,24 @@
         stream_->reset();
     } else {
         if (chunked_) outbox_->send("0\r\n\r\n");
-        if (!keep_ || gateway_.door().closing())
+        if (!keep_ || gateway_.admission().closing())
             bow_out();
         else
-            bound(gateway_.door().rules().idle_for, Objection::none);
+            bound(gateway_.admission().rules().idle_for, Objection::none);
     }
     answered_.fire();
 }
 
 net::Task<bool> Visit::room() {
     const auto self = shared_from_this();
-    co_await outbox_->below(gateway_.charter().lines.stream_ahead);
+    co_await outbox_->below(gateway_.charter().pool.stream_ahead);
     co_return !outbox_->broken();
 }
 
 void Visit::say_plain(unsigned status, std::string_view type, std::string body) {
     http::HeadWriter head(http::status_line(status));
     head.add("Content-Type", type).add("Content-Length", static_cast<std::int64_t>(body.size()));
-    const bool last = !keep_ || gateway_.door().closing();
+    const bool last = !keep_ || gateway_.admission().closing();
     if (last) head.add("Connection", "close");
     outbox_->send(head.done(), std::make_shared<const std::string>(std::move(body)));
     if (last) bow_out();
@@ -285,7 +285,7 @@
 
 // What the door objects to was never taken: it may be tried again wherever the objection lets it.
 void Visit::object(Objection objection) {
-    gateway_.door().count(objection);
+    gateway_.admission().count(objection);
     const Told& words = told(objection);
     gateway_.log().line(Log::Level::info, "turned_back_at_door", {{"objection", words.word}});
     std::string body = std::string(words.text) + "\n";
@@ -293,7 +293,7 @@
     head.add(field::objection, words.word);
     if (words.come_back) {
         head.add(field::outcome, "bounced");
-        const Time pause = gateway_.door().retry_after();
+        const Time pause = gateway_.admission().retry_after();
         head.add("Retry-After", (pause + 1s - Time(1)) / 1s).add(field::retry_after_ms, pause / 1ms);
     }
     head.add("Content-Type", "text/plain").add("Content-Length", static_cast<std::int64_t>(body.size()));
@@ -306,12 +306,12 @@
 void Visit::watch_reading() {
     if (reading_.is_set() || outbox_->pending() == 0) return;
     sent_then_ = outbox_->sent();
-    reading_.set(world().now() + gateway_.door().rules().unread_for);
+    reading_.set(world().now() + gateway_.admission().rules().unread_for);
 }
 
 void Visit::see_reading() {
     if (outbox_->pending() == 0 || outbox_->sent() != sent_then_) return watch_reading();
-    gateway_.door().count(Objection::unread_answer);
+    gateway_.admission().count(Objection::unread_answer);
     stream_->reset();
     outbox_->abandon();
 }
--- a/tests/codec_fuzz.cpp
+++ b/tests/codec_fuzz.cpp
@@ -2,7 +2,7 @@
 #include <cstdlib>
 #include <iostream>
 
-#include "board/frames.hpp"
+#include "discovery/frames.hpp"
 #include "chance/pcg.hpp"
 #include "fastcgi/records.hpp"
 #include "runline/words.hpp"
@@ -77,8 +77,8 @@
 }
 
 std::string feed_frames(std::string_view a, std::string_view b) {
-    board::Frames reader({{"a"}, {"k"}});
-    board::Event event;
+    discovery::Frames reader({{"a"}, {"k"}});
+    discovery::Event event;
     std::string text;
     for (std::string_view part : {a, b})
         while (reader.next(part, event)) {
@@ -87,7 +87,7 @@
             for (const auto& each : event.gone) text += " -" + each;
             text += ';';
         }
-    return text + board::word_of(reader.broken());
+    return text + discovery::word_of(reader.broken());
 }
 
 template <class Feed>
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -237,10 +237,10 @@
     std::vector<Client*> all;
     for (std::uint64_t i = 1; i <= 30; ++i) all.push_back(&client(10ms, {{0ms, job_text(1, i)}}));
     world.run(200ms);
-    std::size_t open_lines = 0;
+    std::size_t open_connections = 0;
     const std::size_t before = runs();
-    for (const auto& each : peers) open_lines += static_cast<std::size_t>(each->open);
-    ASSERT_EQ(open_lines, 8u);
+    for (const auto& each : peers) open_connections += static_cast<std::size_t>(each->open);
+    ASSERT_EQ(open_connections, 8u);
     ASSERT_LT(before, 30u);
     for (const auto& each : peers) {
         each->script = {Does::answers};
@@ -338,9 +338,9 @@
     told.charter.log.file = "/dev/null";
     Log quiet(world, told.charter.log);
     auto board = std::make_unique<Noticeboard>(world, "10.9.0.1");
-    std::vector<std::unique_ptr<board::Board>> all;
+    std::vector<std::unique_ptr<discovery::Watch>> all;
     for (std::uint64_t seed = 1; seed <= 30; ++seed) {
-        all.push_back(std::make_unique<board::Board>(world, quiet, told.places, told.board, 1, [](const board::Event&) {}, seed));
+        all.push_back(std::make_unique<discovery::Watch>(world, quiet, told.places, told.discovery, 1, [](const discovery::Event&) {}, seed));
         all.back()->follow();
     }
     world.run(500ms);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -398,8 +398,8 @@
 }
 
 TEST_F(GatewayTest, ASlowReaderIsLetGoAndHoldsNoMemory) {
-    charter.door.unread_for = 2s;
-    charter.lines.stream_ahead = 64 * 1024;
+    charter.admission.unread_for = 2s;
+    charter.pool.stream_ahead = 64 * 1024;
     peer({Does::large});
     open();
     Client& one = client(10ms, job("p"), 20s, false);
@@ -435,10 +435,10 @@
 void PrintTo(const Odd& odd, std::ostream* out) {
     *out << odd.word;
 }
-class DoorTest : public GatewayTest, public testing::WithParamInterface<Odd> {};
-TEST_P(DoorTest, TellsWhatItObjectsTo) {
-    charter.door.head_bytes = 2048;
-    charter.door.body_bytes = 100;
+class AdmissionTest : public GatewayTest, public testing::WithParamInterface<Odd> {};
+TEST_P(AdmissionTest, TellsWhatItObjectsTo) {
+    charter.admission.head_bytes = 2048;
+    charter.admission.body_bytes = 100;
     Peer& it = peer({Does::answers});
     open();
     Client& one = client(10ms, GetParam().text);
@@ -454,7 +454,7 @@
 }
 const std::string good = "plumkeel-use-case: p\r\nplumkeel-time-left: 1000\r\n";
 INSTANTIATE_TEST_SUITE_P(
-    Odd, DoorTest,
+    Odd, AdmissionTest,
     testing::Values(
         Odd{"what is this\r\n\r\n", "malformed", 400}, Odd{head(good + "Content-Length: -4\r\n"), "malformed", 400},
         Odd{head(good + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"), "malformed", 400},
@@ -485,9 +485,9 @@
 }
 
 TEST_F(GatewayTest, LimitsOnJobsConnectionsAndMemory) {
-    charter.door.open_jobs = 2;
-    charter.door.connections = 3;
-    charter.door.memory_bytes = 1000;
+    charter.admission.open_jobs = 2;
+    charter.admission.connections = 3;
+    charter.admission.memory_bytes = 1000;
     peer({Does::hangs});
     open();
     client(10ms, job("s"));
@@ -505,7 +505,7 @@
 }
 
 TEST_F(GatewayTest, BodiesThatAreStillComingCountAgainstTheMemory) {
-    charter.door.memory_bytes = 1000;
+    charter.admission.memory_bytes = 1000;
     peer({Does::answers});
     open();
     const std::string text = job("p", "", std::string(900, 'b'));
@@ -566,7 +566,7 @@
 };
 
 TEST_F(GatewayTest, GoneWhileAHopIsOutAndWhileOneWaitsForItsConnection) {
-    charter.lines.most = 1;
+    charter.pool.most = 1;
     charter.list.consul = "list:1";
     Source source(world);
     Peer& a = peer({Does::answers});
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -5,7 +5,7 @@
 #include <fstream>
 
 #include "charter/charter.hpp"
-#include "door/door.hpp"
+#include "admission/admission.hpp"
 #include "fleet/follower.hpp"
 #include "gateway/proof.hpp"
 #include "log/log.hpp"
@@ -131,30 +131,30 @@
 
 // ---------------------------------------------------------------- the door
 
-TEST(Door, CountsInAndOut) {
-    DoorRules rules;
+TEST(Admission, CountsInAndOut) {
+    AdmissionRules rules;
     rules.open_jobs = 1;
     rules.connections = 1;
     rules.memory_bytes = 10;
-    Door door(rules);
-    EXPECT_EQ(door.connection_came(), Objection::none);
-    EXPECT_EQ(door.connection_came(), Objection::too_many_connections);
-    door.connection_left();
-    EXPECT_EQ(door.connection_came(), Objection::none);
-    EXPECT_EQ(door.job_came(), Objection::none);
-    EXPECT_EQ(door.job_came(), Objection::too_many_jobs);
-    EXPECT_EQ(door.hold(8), Objection::none);
-    EXPECT_EQ(door.hold(8), Objection::no_memory);
-    EXPECT_EQ(door.held_bytes(), 8u);
-    door.let_go(8);
-    EXPECT_EQ(door.hold(8), Objection::none);
-    door.close();
-    EXPECT_EQ(door.head_read(0), Objection::closing);
+    Admission admission(rules);
+    EXPECT_EQ(admission.connection_came(), Objection::none);
+    EXPECT_EQ(admission.connection_came(), Objection::too_many_connections);
+    admission.connection_left();
+    EXPECT_EQ(admission.connection_came(), Objection::none);
+    EXPECT_EQ(admission.job_came(), Objection::none);
+    EXPECT_EQ(admission.job_came(), Objection::too_many_jobs);
+    EXPECT_EQ(admission.hold(8), Objection::none);
+    EXPECT_EQ(admission.hold(8), Objection::no_memory);
+    EXPECT_EQ(admission.held_bytes(), 8u);
+    admission.let_go(8);
+    EXPECT_EQ(admission.hold(8), Objection::none);
+    admission.close();
+    EXPECT_EQ(admission.head_read(0), Objection::closing);
 }
 
-TEST(Door, TimeLeft) {
-    DoorRules rules;
-    Door strict(rules);
+TEST(Admission, TimeLeft) {
+    AdmissionRules rules;
+    Admission strict(rules);
     Time left{};
     EXPECT_EQ(strict.time_left("", left), Objection::time_left_absent);
     for (const char* absurd : {"0", "-5", "1e3", "4000ms", "99999999999999999999", "9223372036854775807"})
@@ -162,25 +162,25 @@
     EXPECT_EQ(strict.time_left("4000", left), Objection::none);
     EXPECT_EQ(left, 4s);
     rules.assumed_left = 3s;
-    EXPECT_EQ(Door(rules).time_left("", left), Objection::none);
+    EXPECT_EQ(Admission(rules).time_left("", left), Objection::none);
     EXPECT_EQ(left, 3s);
 }
 
-TEST(Door, WithoutDescriptorsAcceptingDoesNotSpin) {
-    Door door({});
+TEST(Admission, WithoutDescriptorsAcceptingDoesNotSpin) {
+    Admission admission({});
     Time sum{};
-    for (int i = 0; i < 20; ++i) sum += door.no_descriptors();
+    for (int i = 0; i < 20; ++i) sum += admission.no_descriptors();
     EXPECT_GT(sum, 10s);
-    EXPECT_EQ(door.counted(Objection::no_descriptors), 20u);
-    door.accepted();
-    EXPECT_LT(door.no_descriptors(), 50ms);
+    EXPECT_EQ(admission.counted(Objection::no_descriptors), 20u);
+    admission.accepted();
+    EXPECT_LT(admission.no_descriptors(), 50ms);
 }
 
-TEST(Door, APaceIsJudgedOverTheWholeBody) {
-    Door door({});
-    EXPECT_EQ(door.pace(0s, 1s, 0), Objection::none);
-    EXPECT_EQ(door.pace(0s, 3s, 100), Objection::body_too_slow);
-    EXPECT_EQ(door.pace(0s, 3s, 5000), Objection::none);
+TEST(Admission, APaceIsJudgedOverTheWholeBody) {
+    Admission admission({});
+    EXPECT_EQ(admission.pace(0s, 1s, 0), Objection::none);
+    EXPECT_EQ(admission.pace(0s, 3s, 100), Objection::body_too_slow);
+    EXPECT_EQ(admission.pace(0s, 3s, 5000), Objection::none);
 }
 
 // ---------------------------------------------------------------- settings
@@ -257,7 +257,7 @@
     EXPECT_EQ(ending_of(503, ""), Ending::errored);
     EXPECT_EQ(ending_of(503, "surely"), Ending::errored);
     EXPECT_EQ(ending_of(200, ""), Ending::honoured);
-    for (const Cause cause : {Cause::line_broke, Cause::time_ran_out, Cause::called_off, Cause::withdrawn}) {
+    for (const Cause cause : {Cause::connection_broke, Cause::time_ran_out, Cause::called_off, Cause::withdrawn}) {
         EXPECT_EQ(ending_of(Reached::not_written, cause), Ending::never_sent);
         const Ending some = ending_of(Reached::may_have_run, cause);
         EXPECT_TRUE(some == Ending::cut_off || some == Ending::overdue || some == Ending::called_off);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -209,7 +209,7 @@
     const std::string second = frame(2, 2, {{3, "10.0.0.3"}});
     board.say(second + second);  // told twice
     world.run(600ms);
-    EXPECT_EQ(host->board().last(), 2u);
+    EXPECT_EQ(host->watch().last(), 2u);
     board.say(frame(4, 2, {{4, "10.0.0.4"}}));  // the third is missing
     world.run(1s);
     ASSERT_EQ(board.asked.size(), 2u);
@@ -228,7 +228,7 @@
     EXPECT_LE(board.asked[3].first - silent_since, 3s);
     board.say(frame(9, 1, {{9, "10.0.0.9"}}));  // a whole list makes good what was missed
     world.run(world.now() + 100ms);
-    EXPECT_EQ(host->board().last(), 9u);
+    EXPECT_EQ(host->watch().last(), 9u);
 }
 
 TEST_F(PlatformTest, ABrokenFrameMeansToAskAgain) {
@@ -238,7 +238,7 @@
         Config told = read_config(file_of(plain_config));
         told.charter.log.file = "/dev/null";
         Log quiet(own, told.charter.log);
-        board::Board it(own, quiet, told.places, told.board, 1, [](const board::Event&) {}, 7);
+        discovery::Watch it(own, quiet, told.places, told.discovery, 1, [](const discovery::Event&) {}, 7);
         it.follow();
         own.run(500ms);
         board.say(bad);
@@ -314,8 +314,8 @@
 
 // ---------------------------------------------------------------- the configuration
 
-struct Causes : gateway::Lines {
-    using gateway::Lines::cause_of;
+struct Causes : gateway::ConnectionPool {
+    using gateway::ConnectionPool::cause_of;
 };
 
 // The reset day: connections reset as they came up were taken for machines that are gone, and forgotten with all
@@ -326,7 +326,7 @@
         EXPECT_EQ(Causes::cause_of(nobody), proof::Cause::no_connection);
     for (const net::Error& here : {net::Error(error::connection_reset), net::Error(error::no_descriptors), net::Error(error::broken_pipe),
                                    net::Error(error::no_buffer_space), net::Error(error::operation_aborted)}) {
-        EXPECT_EQ(Causes::cause_of(here), proof::Cause::line_broke);
+        EXPECT_EQ(Causes::cause_of(here), proof::Cause::connection_broke);
         EXPECT_EQ(proof::ending_of(proof::Reached::nothing_connected, Causes::cause_of(here)), Ending::never_sent);
     }
 }
@@ -367,9 +367,9 @@
 
 TEST(PlatformConfig, BoundsFollowFromTheLimits) {
     const Config config = read_config(file_of(plain_config));
-    EXPECT_LE(config.charter.door.connections + config.charter.lines.most_all, 256u);
-    EXPECT_GE(config.charter.door.connections, 256u / 3);  // clients hold a third at the most
-    EXPECT_LT(config.charter.door.memory_bytes, 48u * 1024 * 1024 / 4);
+    EXPECT_LE(config.charter.admission.connections + config.charter.pool.most_all, 256u);
+    EXPECT_GE(config.charter.admission.connections, 256u / 3);  // clients hold a third at the most
+    EXPECT_LT(config.charter.admission.memory_bytes, 48u * 1024 * 1024 / 4);
     EXPECT_EQ(config.seed, 0x8c1f30d27a5be964u);
     EXPECT_EQ(config.known_to, 1u);
 }
