A span of time that is none is named at the start; every foreign field is tried in a test

Each field of the configuration in turn missing, of another kind or absurd (some 1,400 files): turned down with file and field, or run with, two requests and a reload included. Seen on reading: a span such as 1e300 was rounded into any number (settings::from_ms).

--- a/src/settings/fields.hpp
+++ b/src/settings/fields.hpp
@@ -43,7 +43,11 @@
 }
 
 inline Time span(const json& object, const char* key, Time otherwise = {}) {
-    return has(object, key) ? from_ms(get<double>(object, key)) : otherwise;
+    if (!has(object, key)) return otherwise;
+    constexpr double longest_ms = 1e12;  // what comes beyond it fits no clock
+    const auto ms = get<double>(object, key);
+    if (!(ms >= 0 && ms <= longest_ms)) throw Fault(std::string("field '") + key + "' is no span of time");
+    return from_ms(ms);
 }
 
 inline const json& part(const json& object, const char* key) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -365,6 +365,58 @@
     }().find("/nowhere/config.json"), std::string::npos);
 }
 
+// Every field in turn is missing, of another kind, or absurd: the file is turned down with its name, or the controller
+// runs with it and answers.
+TEST(PlatformConfig, AForeignFieldIsNamedOrDoesNoHarm) {
+    using settings::json;
+    const json plain = json::parse(plain_config);
+    std::vector<json::json_pointer> fields;
+    const std::function<void(const json&, const json::json_pointer&)> walk = [&](const json& at, const json::json_pointer& path) {
+        if (!path.empty()) fields.push_back(path);
+        if (!at.is_structured()) return;
+        for (const auto& [key, value] : at.items()) walk(value, at.is_array() ? path / std::stoul(key) : path / key);
+    };
+    walk(plain, json::json_pointer());
+    ASSERT_GT(fields.size(), 80u);
+    const std::vector<json> instead{nullptr, true, -1, 0, 0.5, 1e300, -1e300, 18446744073709551615u, "", "x", "1", json::array(), json::object(), {1, "x", nullptr}};
+    int named = 0, run = 0;
+    for (const auto& field : fields) {
+        for (std::size_t i = 0; i <= instead.size(); ++i) {
+            json changed = plain;
+            if (i < instead.size()) {
+                changed[field] = instead[i];
+            } else {
+                json& parent = changed[field.parent_pointer()];
+                if (parent.is_array()) continue;
+                parent.erase(field.back());
+            }
+            Config config;
+            try {
+                config = read_config(file_of(changed.dump()));
+            } catch (const settings::Fault& fault) {
+                ++named;
+                EXPECT_NE(std::string(fault.what()).find(config_file()), std::string::npos);
+                continue;
+            } catch (const std::exception& other) {
+                ADD_FAILURE() << field << " as case " << i << ": " << other.what();
+                continue;
+            }
+            ++run;
+            net::MemoryWorld world;
+            config.charter.log.file = "/dev/null";
+            Log log(world, config.charter.log);
+            Host host(world, config, log);
+            if (host.open()) continue;
+            Client client(world, 10ms, {{0ms, message(1, job_fields(hex16(1), hex16(2)), "work") + message(2, {{"SCRIPT_NAME", "/_health"}})}});
+            world.run(200ms);
+            host.reconfigured(config);
+            world.run(400ms);
+        }
+    }
+    EXPECT_GT(named, 200);
+    EXPECT_GT(run, 200);
+}
+
 TEST(PlatformConfig, BoundsFollowFromTheLimits) {
     const Config config = read_config(file_of(plain_config));
     EXPECT_LE(config.charter.admission.connections + config.charter.pool.most_all, 256u);
