An attempt whose write met a broken connection never ran, and goes on

Seen on reading once more: Connection::put() took what stood in the outbox after the write as the attempt's end, so that a write that failed at once counted as whole. A request that may run but once was then answered as failed, others risked a second run. Its bytes are counted ahead now. WhatCouldNotBeWrittenNeverRan resets the connection at the same instant: failed before, passes now. A test for requests without time left, which are refused.

--- a/src/runline/pool.cpp
+++ b/src/runline/pool.cpp
@@ -51,6 +51,7 @@
             rest();
             return outbox_ ? Reached::not_written : Reached::nothing_connected;
         }
+        if (outbox_->broken() && outbox_->sent() < placed.whole_at) return Reached::not_written;
         if (!errand.light()) outbox_->send(stop(placed.id));
         // Nothing at all heard for the whole of a probe's time: this connection is of no use, whatever the invoker is.
         if (errand.light() && cause == Cause::time_ran_out && heard_ <= placed.since) spoilt("silent");
@@ -138,16 +139,20 @@
         if (!errand.light() && errand.until - world_.now() < 1ms) return;
         ConnectionPool::set_state(*placed.errand, Errand::State::out);
         placed.since = world_.now();
+        // Counted ahead: a connection that breaks under the write has not taken it.
+        const std::size_t before = outbox_->sent() + outbox_->pending();
         if (errand.light()) {
-            outbox_->send(probe(placed.id, !pool_.sight_.report_fields.empty()));
+            std::string text = probe(placed.id, !pool_.sight_.report_fields.empty());
+            placed.whole_at = before + text.size();
+            outbox_->send(std::move(text));
         } else {
             const gateway::Ward& ward = *errand.ward;
-            outbox_->send(run(placed.id, static_cast<const StatedUseCase*>(ward.use_case)->name, ward.function->name, ward.mark,
-                              (errand.until - world_.now()) / 1ms, ward.body->size()),
-                          ward.body);
+            std::string head = run(placed.id, static_cast<const StatedUseCase*>(ward.use_case)->name, ward.function->name, ward.mark,
+                                   (errand.until - world_.now()) / 1ms, ward.body->size());
+            placed.whole_at = before + head.size() + ward.body->size() + body_end.size();
+            outbox_->send(std::move(head), ward.body);
             outbox_->send(std::string(body_end));
         }
-        placed.whole_at = outbox_->sent() + outbox_->pending();
     }
 
     net::Task<> live(std::shared_ptr<Connection> self, net::Address address) {
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -315,6 +315,25 @@
     EXPECT_EQ(a.runs.size() + b.runs.size(), 2u);
 }
 
+// The connection is reset at the instant at which a request that may run but once is put on it: the write fails, so it
+// never ran, and goes on.
+TEST_F(EndingsTest, WhatCouldNotBeWrittenNeverRan) {
+    Peer& only = peer();
+    open(replaced(patient(), R"("semantics":"retryable")", R"("semantics":"fragile")"));
+    patient_job(10ms, 1);
+    Client& second = client(20ms, {});
+    well.emplace_back(hex16(2), &second);
+    world.run(100ms);
+    ASSERT_EQ(only.streams.size(), 1u);
+    world.at(110ms, [&] {
+        Peer::put(second.stream, job_text(1, 2, "work"));  // both arrive at the same moment, this first
+        only.streams[0]->reset();
+    });
+    world.run(5s);
+    EXPECT_EQ(honoured(), 2u);
+    EXPECT_EQ(only.runs.size(), 2u);
+}
+
 // ---------------------------------------------------------------- the list ends
 
 // A whole list that leaves out an invoker with a hop out: the hop is awaited, and nothing new goes there.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -146,6 +146,21 @@
     for (Client* each : turned) EXPECT_EQ(each->answer(1).status(), "400");
 }
 
+// A retry with next to no time left never runs: it is refused, which is harmless to try again, and not failed.
+TEST_F(PlatformTest, WithoutTimeLeftAJobIsRefusedNotFailed) {
+    peer(), peer();
+    open();
+    std::vector<Client*> all;
+    for (const char* left : {"0", "0.4", "0.999"}) {
+        auto fields = job_fields(hex16(all.size() + 1), hex16(0xf));
+        fields[2].second = left;
+        all.push_back(&client(10ms, {{0ms, message(1, fields, "work")}}));
+    }
+    world.run(2s);
+    for (Client* each : all) EXPECT_EQ(each->answer(1).status(), "503");
+    EXPECT_EQ(runs(), 0u);
+}
+
 TEST_F(PlatformTest, ATakenBackJobIsStoppedAndItsNumberFree) {
     Peer& a = peer({Does::silent, Does::answers});
     Peer& b = peer({Does::silent, Does::answers});
