--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -334,6 +334,19 @@
     EXPECT_EQ(only.runs.size(), 2u);
 }
 
+// A record stops in its middle, and another request of its connection is open: that one is answered, then the connection
+// goes.
+TEST_F(EndingsTest, ARecordThatDoesNotComeWholeCostsNoOpenRequestItsAnswer) {
+    Peer& only = peer();
+    only.takes = 3s;
+    open(patient());
+    Client& one = client(10ms, {{0ms, job_text(1, 1, "work") + job_text(2, 2, "work").substr(0, 60)}});
+    world.run(10s);
+    EXPECT_EQ(one.answer(1).times, 1);
+    EXPECT_EQ(one.answer(1).body(), Peer::body_for(hex16(1)));
+    EXPECT_LT(one.ended, 5s);
+}
+
 // ---------------------------------------------------------------- the list ends
 
 // A whole list that leaves out an invoker with a hop out: the hop is awaited, and nothing new goes there.
