Refusals that nobody reads are bounded again, now that clients are read all the time

At fault: pending_end in Visit::live. Now 64 KiB of refusals and other short words, while over 64 KiB is pending, end the connection; answers are bounded by the 32 jobs that may be open. AClientThatReadsNoRefusalsIsNotHeldForMuch fails without it (seen). Three closing comments still named the old namespace.

--- a/src/discovery/frames.cpp
+++ b/src/discovery/frames.cpp
@@ -125,4 +125,4 @@
     return Heard::news;
 }
 
-}  // namespace plumkeel::board
+}  // namespace plumkeel::discovery
--- a/src/discovery/frames.hpp
+++ b/src/discovery/frames.hpp
@@ -61,4 +61,4 @@
     std::uint64_t last_;
 };
 
-}  // namespace plumkeel::board
+}  // namespace plumkeel::discovery
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -88,4 +88,4 @@
     }
 }
 
-}  // namespace plumkeel::board
+}  // namespace plumkeel::discovery
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -53,4 +53,4 @@
     Pcg chance_;
 };
 
-}  // namespace plumkeel::board
+}  // namespace plumkeel::discovery
--- a/src/fastcgi/visit.cpp
+++ b/src/fastcgi/visit.cpp
@@ -17,8 +17,9 @@
 
 constexpr std::size_t read_at_once = 8 * 1024;
 constexpr std::size_t pending_most = 64 * 1024;       // of answers: beyond it no further jobs are taken
-constexpr std::size_t pending_end = 1024 * 1024;      // beyond all answers that may be open at once: the connection goes
+constexpr std::size_t refusals_most = 64 * 1024;      // and other short words, while that much is pending: then the connection goes
 constexpr std::size_t thrown_away_most = 256 * 1024;  // of what is not taken: beyond it the connection goes
+constexpr std::size_t refusal_bytes = 192;            // of one that is an answer, about
 constexpr Time lingering = 200ms, watch_every = 250ms;
 constexpr std::size_t key_digits = 16;
 
@@ -99,7 +100,9 @@
         const bool read = intake_.feed({room.data(), moved.bytes}, *this);
         if (intake_.records() != records || !intake_.in_record()) stuck_since_ = last_;
         if (!read) gateway_.admission().count(Objection::malformed);
-        if (outbox_->pending() > pending_end) {
+        // Answers to open jobs are bounded by how many may be open; refusals to one who reads none are not.
+        if (outbox_->pending() <= pending_most) refusals_ = 0;
+        if (refusals_ > refusals_most) {
             gateway_.admission().count(Objection::unread_answer);
             outbox_->abandon();
             stream_->reset();
@@ -243,7 +246,7 @@
     if (why == Wrong::twice) drop(number);
     if (why == Wrong::role) {
         gateway_.admission().count(Objection::malformed);
-        outbox_->send(end_records(number, 0, unknown_role, false));
+        refuse(end_records(number, 0, unknown_role, false));
         return;
     }
     object(number, why == Wrong::too_many ? Objection::too_many_jobs : why == Wrong::too_big ? Objection::body_too_big : Objection::malformed,
@@ -254,7 +257,7 @@
     begun_.erase(number);
     if (!open_.count(number)) return;  // its answer has just left
     drop(number);
-    outbox_->send(end_records(number, 0, complete, false));
+    refuse(end_records(number, 0, complete, false));
 }
 
 // Its client wants the answer no more.
@@ -269,11 +272,16 @@
 }
 
 void Visit::asks_values(std::string_view names) {
-    outbox_->send(values_record(names, gateway_.admission().rules().connections, Bounds{}.open));
+    refuse(values_record(names, gateway_.admission().rules().connections, Bounds{}.open));
 }
 
 void Visit::unknown(std::uint8_t type) {
-    outbox_->send(unknown_record(type));
+    refuse(unknown_record(type));
+}
+
+void Visit::refuse(std::string text) {
+    refusals_ += text.size();
+    outbox_->send(std::move(text));
 }
 
 // ---------------------------------------------------------------- answers
@@ -297,6 +305,7 @@
     gateway_.admission().count(objection);
     const plumkeel::Told& words = told(objection);
     open_[number] = {nullptr, keep};
+    refusals_ += refusal_bytes;
     if (!words.come_back) return answer(number, fmt::format("Status: {} {}\r\n", words.status, words.word), words.text);
     answer(number, fmt::format("Status: 503 {}\r\nBack-Off-Ms: {}\r\n", words.word, gateway_.admission().retry_after() / 1ms), "", overloaded);
 }
--- a/src/fastcgi/visit.hpp
+++ b/src/fastcgi/visit.hpp
@@ -54,6 +54,7 @@
     Objection understand(const Message& message, gateway::Wanted& wanted) const;
     void object(std::uint16_t number, Objection objection, bool keep);
     void answer(std::uint16_t number, std::string head, std::string_view body, std::uint8_t protocol_status = complete);
+    void refuse(std::string text);
     void closed(std::uint16_t number);
     void drop(std::uint16_t number);
     void watch();
@@ -71,6 +72,7 @@
     net::Signal left_;
     net::Time last_{}, stuck_since_{}, unread_since_{};
     std::size_t sent_then_{}, counted_{};
+    std::size_t refusals_{};  // bytes of short words since less was pending
     bool spoke_{}, last_answer_{}, leaving_{}, gone_{};
 };
 
--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -200,6 +200,28 @@
 INSTANTIATE_TEST_SUITE_P(All, FullSocketTest, testing::ValuesIn(leavings()), name_of);
 
 
+// Refusals to one who reads none are not held without end: the connection goes long before its answers count as unread.
+TEST_F(PlatformTest, AClientThatReadsNoRefusalsIsNotHeldForMuch) {
+    peer();
+    world.narrow({"10.1.0.1", 7001}, 64 * 1024);
+    open(patient());
+    std::string text;
+    for (int i = 0; i < 200; ++i) text += message(1, {{"SCRIPT_NAME", "/invoke/nothing"}});
+    Client& flood = client(10ms, {}, false);
+    std::size_t most = 0;
+    Time gone = Time::max();
+    for (int i = 0; i < 100; ++i)
+        world.at(20ms + 5ms * i, [&] {
+            Peer::put(flood.stream, text);
+            const auto status = host->gateway().status();
+            if (status.at("door").at("connections").to_number<int>() == 0) gone = std::min(gone, world.now());
+            most = std::max(most, status.at("door").at("turned_back").as_object().empty() ? 0 : 1ul);
+        });
+    world.run(2s);
+    EXPECT_EQ(most, 1u);
+    EXPECT_LT(gone, 500ms);
+}
+
 // ---------------------------------------------------------------- connections to invokers end, or can't be had
 
 class EndingsTest : public PlatformTest {
