--- /dev/null
+++ b/src/dispatch/belief_table.hpp
@@ -0,0 +1,79 @@
+// What a controller takes a function's standing at invokers to be, by invoker: in the order in which beliefs were formed, and
+// found without a scan where there are many. Plain data; nothing is decided here.
+#pragma once
+
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+namespace plumkeel {
+
+struct Invoker;
+
+struct Belief {
+    Invoker* invoker{};
+    std::chrono::microseconds until{};  // it lapses then
+    int out{};                          // own attempts of the function there
+    int copies{};                       // thought to stand there
+    int peak{};                         // most own attempts there at once, lately
+    std::chrono::microseconds peaked{};
+};
+
+class BeliefTable {
+public:
+    std::size_t size() const { return all_.size(); }
+    bool empty() const { return all_.empty(); }
+    auto begin() { return all_.begin(); }
+    auto end() { return all_.end(); }
+    auto begin() const { return all_.begin(); }
+    auto end() const { return all_.end(); }
+    Belief& operator[](std::size_t position) { return all_[position]; }
+
+    // Null where there is none. Pointers hold until the next add() or erase_if().
+    Belief* find(const Invoker& invoker) {
+        if (positions_) {
+            const auto found = positions_->find(&invoker);
+            return found == positions_->end() ? nullptr : &all_[found->second];
+        }
+        for (Belief& belief : all_)
+            if (belief.invoker == &invoker) return &belief;
+        return nullptr;
+    }
+
+    // There must be none for this invoker yet.
+    Belief& add(Invoker& invoker) {
+        Belief& belief = all_.emplace_back();
+        belief.invoker = &invoker;
+        if (positions_)
+            positions_->emplace(&invoker, static_cast<std::uint32_t>(all_.size() - 1));
+        else if (all_.size() > scanned_at_most)
+            index();
+        return belief;
+    }
+
+    // `gone` is called once for each, and says whether it is taken out.
+    template <class Gone>
+    void erase_if(Gone gone) {
+        if (std::erase_if(all_, gone) == 0) return;
+        positions_.reset();
+        if (all_.size() > scanned_at_most) index();
+        if (all_.empty()) all_.shrink_to_fit();
+    }
+
+private:
+    static constexpr std::size_t scanned_at_most = 16;
+    using Positions = boost::unordered_flat_map<const Invoker*, std::uint32_t>;
+
+    void index() {
+        positions_ = std::make_unique<Positions>();
+        positions_->reserve(all_.size());
+        for (std::size_t i = 0; i < all_.size(); ++i) positions_->emplace(all_[i].invoker, static_cast<std::uint32_t>(i));
+    }
+
+    std::vector<Belief> all_;
+    std::unique_ptr<Positions> positions_;  // only where there are many
+};
+
+}  // namespace plumkeel
--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -11,6 +11,9 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <limits>
+
+#include "dispatch/hash.hpp"
 
 namespace plumkeel {
 namespace {
@@ -25,6 +28,7 @@
 // The pick.
 constexpr std::size_t homes = 2, further = 1;
 constexpr std::size_t most_weighed = 16;  // that are told of for one job
+constexpr std::size_t most_visited = 64, most_homes = 48;  // for one job: of a larger fleet, of its homes
 constexpr double home_room = 2.2;  // more of the fleet for a function than its part of the jobs
 constexpr double unseen = 0.5;     // arrivals that any function counts for at the start
 constexpr double shared_jobs = 3, few_arrivals = 20;
@@ -68,6 +72,10 @@
 
 constexpr double cold_margin = 1.0;  // of the budget for a cold invoker, for what can't be seen
 constexpr Time forget_function = 60s, release_invoker = 5s;
+constexpr std::size_t most_functions = 16'384, most_called_once = most_functions / 4, most_spared = 16;
+constexpr std::size_t most_due = 64, most_released = 64;  // in one turn: due times; functions when the list changes
+constexpr std::size_t most_swept = 256;  // looked at for reports in one sweep
+constexpr double no_fault = 1e-6;  // faded so far, errors are forgotten
 constexpr Time idle_spare = 700ms;  // for each controller: the others, unseen here, use the copy too
 
 constexpr double in_seconds(Time t) {
@@ -77,18 +85,6 @@
     return Time(static_cast<Time::rep>(std::max(0.0, seconds) * 1e6));
 }
 
-std::uint64_t mix(std::uint64_t x) {
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-    return x ^ (x >> 31);
-}
-
-std::uint64_t print_of(const std::string& name) {
-    std::uint64_t h = 0xcbf29ce484222325ULL;
-    for (unsigned char c : name) h = (h ^ c) * 0x100000001b3ULL;
-    return mix(h);
-}
-
 bool never_ran(Ending e) {
     return e == Ending::turned_away || e == Ending::unreachable || e == Ending::never_sent ||
            e == Ending::not_loaded;
@@ -144,8 +140,7 @@
     if (wait && parked_ < park_limit) return park(job, best.full ? Why::lanes_taken : Why::load_out);
 
     if (!best.warm && may_.order_copies && !function.loading && may_order()) {
-        function.loading = best.invoker;
-        function.loading_since = now_;
+        set_loading(function, best.invoker);
         function.load_ordered = true;
         results_.ordered.push_back({&function, best.invoker, 1});
         return park(job, Why::load_ordered);
@@ -160,7 +155,7 @@
     if (parked_ >= park_limit && job.state != JobState::parked) return give_up(job, Why::park_full);
     turn(job, JobState::parked, why);
     if (!function.ticking) {
-        function.ticking = true;
+        set_ticking(function, true);
         function.clock = now_;
         function.delay = first_delay;
         function.resend = now_ + function.delay;
@@ -182,7 +177,7 @@
     for (Job* job : waiting)
         if (job->state == JobState::parked) place(*job);
     if (function.parked.empty()) {
-        function.ticking = false;
+        set_ticking(function, false);
         drop_due(function.due);
     }
 }
@@ -193,13 +188,12 @@
 void Controller::expect_load(Function& function) {
     if (!function.loading || function.load_ordered) return;
     if (now_ - function.loading_since < span_of(join_share * load_time(function))) return;
-    Belief& belief = believe(function, *function.loading);
-    belief.until = now_ + may_.keep_alive;
-    function.loading = nullptr;
+    set_until(function, believe(function, *function.loading), now_ + may_.keep_alive);
+    set_loading(function, nullptr);
 }
 
 void Controller::load_over(Function& function) {
-    function.loading = nullptr;
+    set_loading(function, nullptr);
     release(function);
 }
 
@@ -231,8 +225,7 @@
     hop.crowd = crowd_at(invoker) + 1;
     if (!choice.warm && !function.loading) {
         hop.loads = true;
-        function.loading = &invoker;
-        function.loading_since = now_;
+        set_loading(function, &invoker);
         function.load_ordered = false;
     }
     if (++belief.out >= belief.peak || now_ - belief.peaked > may_.keep_alive) {
@@ -244,6 +237,7 @@
     invoker.out.push_back(&hop);
     invoker.used = now_;
     moved(invoker, 1);
+    recount(invoker);
     if (invoker.cold_since) invoker.cold_hops.push_back(now_);
     results_.started.push_back(&hop);
     turn(job, JobState::hopping, why, &hop);
@@ -334,8 +328,7 @@
     if (!invoker.cold_since) return true;
     const Time age = now_ - *invoker.cold_since;
     if (age >= rules_.cold_for + rules_.push_span) {
-        invoker.cold_since.reset();
-        invoker.cold_hops.clear();
+        end_cold(invoker);
         return true;
     }
     while (!invoker.cold_hops.empty() && invoker.cold_hops.front() + rules_.push_span < now_)
@@ -353,6 +346,19 @@
         invoker.cold_draw = chance();
     }
     invoker.cold_since = since;
+    fleet_.set_cold(invoker, since);
+    recount(invoker);
+}
+
+// Those whose cold start is over. One that takes no jobs stays as it is until the list tells of it again.
+void Controller::end_cold_starts() {
+    const Time since = now_ - rules_.cold_for - rules_.push_span;
+    while (Invoker* const invoker = fleet_.coldest_first(since)) {
+        if (invoker->listed && invoker->ready)
+            end_cold(*invoker);
+        else
+            fleet_.set_warm(*invoker);
+    }
 }
 
 // Rule 5: may copies be ordered now? Counts the order when it says yes.
@@ -370,104 +376,158 @@
 // ---------------------------------------------------------------- the pick
 
 Controller::Choice Controller::choose(Job& job) {
-    Function& function = *job.function;
-    Choice best;
-    int ties = 0;
-    std::size_t found = 0, looked = 0;
+    end_cold_starts();
     weighed_.clear();
-    auto tell = [&](const Choice& choice, Bar bar) {
-        if (tell_ == Tell::weighed && weighed_.size() < most_weighed)
-            weighed_.push_back({choice.invoker, choice.finish, choice.wait, choice.warm, bar});
-        return bar == Bar::none;
-    };
-    // The more controllers choose on the same reports, the wider a tie: else all take the same invoker.
-    const double near = std::max(tie, herd_tie * function.run * (1 - 1.0 / std::max(1, may_.controllers)));
-    auto consider = [&](Invoker& invoker, double bias, bool kept) {
-        Choice choice{&invoker};
-        choice.warm = kept && !invoker.cold_since;
-        if (!may_hop(job, invoker)) return tell(choice, Bar::may_not_repeat);
-        if (invoker.shun_until > now_ && !doubting_) return tell(choice, Bar::turned_away);
-        if (invoker.no_room_until > now_ && !choice.warm && !believed(belief_of(function, invoker)))
-            return tell(choice, Bar::no_room);
-        choice.finish = estimate(function, invoker, belief_of(function, invoker), choice);
-        if (!choice.warm) choice.finish += (bias - 1) * load_time(function);
-        if (erred_there(job, invoker)) choice.finish += in_seconds(job.use_case->promised);
-        tell(choice, Bar::none);
-        if (!best.invoker || choice.finish < best.finish - near)
-            ties = 1;
-        else if (choice.finish >= best.finish + near || chance() * ++ties >= 1)
-            return true;
-        best = choice;
-        return true;
-    };
-    auto usable = [&](Invoker& invoker) {
-        auto barred = [&](Bar bar) { return found < homes && tell({&invoker}, bar); };
-        if (!may_send_to(invoker)) return barred(invoker.ready ? Bar::cold_budget : Bar::not_ready);
-        if (!doubting_ && invoker.faulty > most_faulty) return barred(Bar::doubted);
-        if (doubting_ || invoker.standing == Standing::trusted) return true;
-        if (invoker.standing != Standing::easing) return barred(Bar::doubted);
-        return static_cast<int>(invoker.out.size()) < invoker.easy || barred(Bar::eased);
-    };
-
-    // Exception "homes": as many as the function's part of all jobs asks of the fleet. Where all controllers
-    // together send a home some jobs in each keep-alive, it is taken to hold the function. A controller that
-    // has just started can't tell a favourite yet: all of them would try the first home.
-    const double seen = std::max(level_ < few_arrivals ? unseen : 0.0, function.level - 1);
+    ++work_.choices;
+    Search search = start_search(job);
+    look_at_homes(search);
+    look_at_beliefs(search);
+    look_for_calm(search);
+    return search.best;
+}
+
+// Exception "homes": as many as the function's part of all jobs asks of the fleet. Where all controllers
+// together send a home some jobs in each keep-alive, it is taken to hold the function. A controller that
+// has just started can't tell a favourite yet: all of them would try the first home.
+Controller::Search Controller::start_search(Job& job) const {
+    Search search{job, *job.function};
+    const double seen = std::max(level_ < few_arrivals ? unseen : 0.0, search.function.level - 1);
     const double part = seen / std::max(level_, few_arrivals);
     const double asked = part * home_room * static_cast<double>(fleet_.size());
-    const auto shared = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(asked)));
-    const auto wanted = std::max(homes, shared);
+    search.shared = std::max<std::size_t>(1, static_cast<std::size_t>(std::ceil(asked)));
+    search.wanted = std::max(homes, search.shared);
     const double others = seen / level_span_ * (may_.controllers - 1);
-    const bool kept = others * in_seconds(may_.keep_alive) > shared_jobs * static_cast<double>(shared);
-    std::vector<Invoker*> order;
-    for (Invoker* invoker : shared_order(function)) {
-        if (!usable(*invoker)) continue;
-        // One that has no room now counts all the same: else, when memory is short, every function is tried
-        // at every invoker, and what waits there for room keeps out the rest (quito's big-2 in the small).
-        if (looked < wanted + further && found < wanted) {
-            found += consider(*invoker, found ? second_home_bias : 1, kept && found < shared);
-            ++looked;
-        }
-        order.push_back(invoker);
+    search.kept = others * in_seconds(may_.keep_alive) > shared_jobs * static_cast<double>(search.shared);
+    // The more controllers choose on the same reports, the wider a tie: else all take the same invoker.
+    search.near = std::max(tie, herd_tie * search.function.run * (1 - 1.0 / std::max(1, may_.controllers)));
+    search.bounded = index_.size() > most_visited;
+    search.visits_left = search.bounded ? most_visited : std::numeric_limits<std::size_t>::max();
+    return search;
+}
+
+// Exception "sample": of more homes than a choice may visit, one is drawn from each of as many equal parts. The best of a few
+// drawn by chance is nearly as good as the best of all (Mitzenmacher, "The power of two choices").
+void Controller::look_at_homes(Search& search) {
+    const std::size_t most = search.bounded ? most_homes : index_.size();
+    const std::size_t listed = std::min(search.wanted, index_.size());
+    if (search.bounded && listed > most_homes) {
+        const double part = static_cast<double>(listed) / most_homes;
+        search.next = listed;
+        for (std::size_t i = 0; i < most_homes; ++i)
+            weigh_home(search, visit(search, static_cast<std::size_t>((static_cast<double>(i) + chance()) * part)));
+        return;
     }
-    const auto known = order.begin() + static_cast<std::ptrdiff_t>(looked);
-    for (const Belief& belief : function.beliefs) {
-        if (belief.until <= now_ || !usable(*belief.invoker)) continue;
-        if (std::find(order.begin(), known, belief.invoker) == known) consider(*belief.invoker, 1, false);
+    while (search.next < most && search.looked < search.wanted + further && search.found < search.wanted)
+        weigh_home(search, visit(search, search.next++));
+}
+
+// The invoker at this place of the shared order; null where it may not be sent anything now.
+Invoker* Controller::visit(Search& search, std::size_t place) {
+    Function& function = search.function;
+    const std::size_t held = function.homes.first.size();
+    const std::size_t needed = std::max(search.next, place < held ? place + 1 : 2 * (place + 1));
+    Invoker* const invoker = index_.find(function.print, function.homes, needed)[place].invoker;
+    if (!usable(search, *invoker)) return nullptr;
+    search.usable.push_back(invoker);
+    return invoker;
+}
+
+bool Controller::usable(Search& search, Invoker& invoker) {
+    --search.visits_left;
+    ++work_.visited;
+    const Bar bar = bar_of(invoker);
+    if (bar != Bar::none && search.found < homes) tell_weighed({&invoker}, bar);
+    return bar == Bar::none;
+}
+
+Bar Controller::bar_of(Invoker& invoker) {
+    if (!may_send_to(invoker)) return invoker.ready ? Bar::cold_budget : Bar::not_ready;
+    if (doubting_) return Bar::none;
+    if (invoker.faulty > most_faulty) return Bar::doubted;
+    if (invoker.standing == Standing::trusted) return Bar::none;
+    if (invoker.standing != Standing::easing) return Bar::doubted;
+    return static_cast<int>(invoker.out.size()) < invoker.easy ? Bar::none : Bar::eased;
+}
+
+void Controller::tell_weighed(const Choice& choice, Bar bar) {
+    if (tell_ == Tell::weighed && weighed_.size() < most_weighed)
+        weighed_.push_back({choice.invoker, choice.finish, choice.wait, choice.warm, bar});
+}
+
+// One that has no room now counts all the same: else, when memory is short, every function is tried
+// at every invoker, and what waits there for room keeps out the rest (quito's big-2 in the small).
+void Controller::weigh_home(Search& search, Invoker* invoker) {
+    if (!invoker) return;
+    const bool kept = search.kept && search.found < search.shared;
+    search.found += weigh(search, *invoker, search.found ? second_home_bias : 1, kept);
+    ++search.looked;
+    invoker->weighed_in = work_.choices;
+}
+
+// False where it can't take this job.
+bool Controller::weigh(Search& search, Invoker& invoker, double bias, bool kept) {
+    const Job& job = search.job;
+    Function& function = search.function;
+    Choice choice{&invoker};
+    choice.warm = kept && !invoker.cold_since;
+    const Belief* const belief = belief_of(function, invoker);
+    Bar bar = Bar::none;
+    if (!may_hop(job, invoker))
+        bar = Bar::may_not_repeat;
+    else if (invoker.shun_until > now_ && !doubting_)
+        bar = Bar::turned_away;
+    else if (invoker.no_room_until > now_ && !choice.warm && !believed(belief))
+        bar = Bar::no_room;
+    if (bar != Bar::none) {
+        tell_weighed(choice, bar);
+        return false;
     }
-    // Exception "seed": where all of these are crowded, place() may bring a favourite's copy to the next calm
-    // invoker in the shared order instead of shedding. Not while copies are found pushed out before their
-    // time, or an invoker has just had no room: then each load pushes out one in use, and the overload keeps
-    // itself going.
-    if (!best.invoker || pushed_out_ > seldom || best.wait < seed_wait * in_seconds(job.use_case->promised))
-        return best;
-    if (std::any_of(order.begin(), order.end(), [&](Invoker* i) { return i->no_room_until > now_; }))
-        return best;
-    for (std::size_t i = 0; i < order.size() && !best.calm; ++i) {
-        Choice there;
-        estimate(function, *order[i], nullptr, there);
-        if (may_hop(job, *order[i]) && there.wait < seed_calm * in_seconds(job.use_case->promised))
-            best.calm = order[i];
+    ++work_.weighed;
+    choice.finish = estimate(function, invoker, belief, choice);
+    if (!choice.warm) choice.finish += (bias - 1) * load_time(function);
+    if (erred_there(job, invoker)) choice.finish += in_seconds(job.use_case->promised);
+    tell_weighed(choice, Bar::none);
+    Choice& best = search.best;
+    const bool better = !best.invoker || choice.finish < best.finish - search.near;
+    if (better) search.ties = 1;
+    if (better || (choice.finish < best.finish + search.near && chance() * ++search.ties < 1)) best = choice;
+    return true;
+}
+
+// Of more than a choice may visit, a run from a place drawn by chance (exception "sample").
+void Controller::look_at_beliefs(Search& search) {
+    BeliefTable& beliefs = search.function.beliefs;
+    const auto first = beliefs.size() > search.visits_left ? static_cast<std::size_t>(chance() * static_cast<double>(beliefs.size())) : 0;
+    for (std::size_t i = 0; i < beliefs.size() && search.visits_left > 0; ++i) {
+        const Belief& belief = beliefs[(first + i) % beliefs.size()];
+        if (belief.until <= now_ || belief.invoker->weighed_in == work_.choices) continue;
+        if (usable(search, *belief.invoker)) weigh(search, *belief.invoker, 1, false);
     }
-    return best;
 }
 
-bool Controller::erred_there(const Job& job, const Invoker& invoker) const {
-    return std::any_of(job.hops.begin(), job.hops.end(),
-                       [&](const Hop& h) { return h.invoker == &invoker && h.ending == Ending::errored; });
+// Exception "seed": where all of these are crowded, place() may bring a favourite's copy to the next calm
+// invoker in the shared order instead of shedding. Not while copies are found pushed out before their
+// time, or an invoker has just had no room: then each load pushes out one in use, and the overload keeps
+// itself going.
+void Controller::look_for_calm(Search& search) {
+    Choice& best = search.best;
+    const double promised = in_seconds(search.job.use_case->promised);
+    if (!best.invoker || pushed_out_ > seldom || best.wait < seed_wait * promised || room_is_short()) return;
+    for (std::size_t i = 0; !best.calm; ++i) {
+        while (i == search.usable.size() && search.next < index_.size() && search.visits_left > 0)
+            visit(search, search.next++);
+        if (i == search.usable.size()) return;
+        Choice there;
+        estimate(search.function, *search.usable[i], nullptr, there);
+        const bool calm = there.wait < seed_calm * promised;
+        if (calm && may_hop(search.job, *search.usable[i])) best.calm = search.usable[i];
+    }
 }
 
-// The fleet in the order that all controllers share for this function.
-const std::vector<Invoker*>& Controller::shared_order(Function& function) {
-    if (function.order_of == list_) return function.order;
-    function.order_of = list_;
-    std::vector<std::pair<double, Invoker*>> places;
-    for (Invoker* invoker : fleet_)
-        if (invoker->listed) places.emplace_back(rank(function, *invoker), invoker);
-    std::sort(places.begin(), places.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-    function.order.clear();
-    for (const auto& [place, invoker] : places) function.order.push_back(invoker);
-    return function.order;
+// Whether some invoker that could be sent something has just had no room.
+bool Controller::room_is_short() {
+    return std::any_of(no_room_.begin(), no_room_.end(),
+                       [&](Invoker* it) { return it->no_room_until > now_ && it->listed && bar_of(*it) == Bar::none; });
 }
 
 // Seconds until this invoker would answer a job of the function that is sent now.
@@ -521,23 +581,6 @@
     return own + std::max(0.0, others);
 }
 
-bool Controller::believed(const Belief* belief) const {
-    return belief && belief->until > now_;
-}
-
-Belief* Controller::belief_of(Function& function, const Invoker& invoker) const {
-    for (Belief& belief : function.beliefs)
-        if (belief.invoker == &invoker) return &belief;
-    return nullptr;
-}
-
-Belief& Controller::believe(Function& function, Invoker& invoker) {
-    if (Belief* known = belief_of(function, invoker)) return *known;
-    Belief& belief = function.beliefs.emplace_back();
-    belief.invoker = &invoker;
-    return belief;
-}
-
 // ---------------------------------------------------------------- what happens to a job
 
 Results Controller::take(Time now, Job& job) {
@@ -588,7 +631,9 @@
     hop.ending = ending;
     std::erase(invoker.out, &hop);
     moved(invoker, -1);
-    if (Belief* belief = belief_of(function, invoker); belief && belief->out > 0) --belief->out;
+    recount(invoker);
+    if (Belief* belief = belief_of(function, invoker); belief && belief->out > 0)
+        if (--belief->out == 0 && belief->until <= now_) functions_.check(function, now_);
     hear(invoker, report);
 
     switch (ending) {
@@ -609,7 +654,7 @@
             break;
         case Ending::errored:
         case Ending::not_loaded:
-            if (Belief* belief = belief_of(function, invoker)) belief->until = Time{};
+            if (Belief* belief = belief_of(function, invoker)) set_until(function, *belief, Time{});
             break;
         case Ending::overdue:
         case Ending::called_off:
@@ -621,7 +666,7 @@
             // A load that has begun goes on without the job that wanted it.
             if (hop.loads && invoker.standing == Standing::trusted &&
                 in_seconds(now - hop.sent) > load_time(function))
-                believe(function, invoker).until = now + may_.keep_alive / 2;
+                set_until(function, believe(function, invoker), now + may_.keep_alive / 2);
             break;
         case Ending::never_sent:
             break;
@@ -639,28 +684,22 @@
             give_up(job, Why::time_up);
         else if (never_ran(ending))
             park(job, Why::never_ran);  // step 1: it never ran, so it waits for the next resend
-        else if (std::any_of(fleet_.begin(), fleet_.end(), [&](Invoker* i) { return may_hop(job, *i); }))
+        else if (may_hop(job, invoker))  // where no invoker may take it again, this one may not either
             place(job);  // it may have run, and may run again
         else
             give_up(job, Why::may_have_run);
     }
-    if (hop.loads && function.loading == &invoker) function.loading = nullptr;
+    if (hop.loads && function.loading == &invoker) set_loading(function, nullptr);
     // The load is over or a lane is free. What was turned away waits for the next resend.
     if (!never_ran(ending)) release(function);
     return done();
 }
 
-Results Controller::client_left(Time now, Job& job) {
-    enter(now);
-    if (!job.answered()) turn(job, JobState::abandoned, Why::client_left);
-    return done();
-}
-
 Results Controller::load_answered(Time now, Function& function, Invoker& invoker, Ending ending, int copies) {
     enter(now);
     if (ending == Ending::honoured || copies > 0) {
         Belief& belief = believe(function, invoker);
-        belief.until = now + may_.keep_alive;
+        set_until(function, belief, now + may_.keep_alive);
         belief.copies = std::max(1, copies);
         belief.peak = belief.copies * std::max(1, function.lanes);
         belief.peaked = now;
@@ -678,7 +717,7 @@
         if (ending == Ending::honoured || copies > 0)
             load_over(function);
         else
-            function.loading = nullptr;
+            set_loading(function, nullptr);
     }
     return done();
 }
@@ -688,7 +727,10 @@
 // honoured the same job, so that
 // jobs nobody could run blame nobody. It could harm where a job's own fault comes and goes.
 void Controller::blame(const Hop& hop) {
-    auto count = [](Invoker& invoker, double bad) { invoker.faulty += fault_gain * (bad - invoker.faulty); };
+    auto count = [&](Invoker& invoker, double bad) {
+        invoker.faulty += fault_gain * (bad - invoker.faulty);
+        recount(invoker);
+    };
     count(*hop.invoker, 0);
     for (const Hop& other : hop.job->hops)
         if (other.invoker != hop.invoker && other.ending == Ending::errored) count(*other.invoker, 1);
@@ -706,7 +748,7 @@
     answered_well(invoker);
 
     Belief& belief = believe(function, invoker);
-    belief.until = now_ + may_.keep_alive;
+    set_until(function, belief, now_ + may_.keep_alive);
     if (hop.expected_warm && hop.beside == 0)
         pushed_out_ += 0.02 * ((note == Note::began_load ? 1 : 0) - pushed_out_);
     if (note == Note::began_load && hop.expected_warm) ++belief.copies;
@@ -793,66 +835,70 @@
 }
 
 void Controller::meet(Function& function) {
-    if (function.known) return;
+    if (function.known) return functions_.called_again(function);
+    make_room();
     function.known = true;
-    function.print = print_of(function.name);
+    function.print = hash_of(function.name);
     function.run = run_;
-    functions_.push_back(&function);
+    functions_.add(function);
+    functions_.check(function, now_ + forget_function);
 }
 
-// PCG (XSH-RR 64/32), as a number from 0 up to 1.
-double Controller::chance() {
-    const std::uint64_t old = dice_;
-    dice_ = old * 6364136223846793005ULL + 1442695040888963407ULL;
-    const auto shifted = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
-    const auto turn = static_cast<std::uint32_t>(old >> 59);
-    return ((shifted >> turn) | (shifted << ((32 - turn) & 31))) * 0x1p-32;
+// So many functions are held and no more, but for those in use: of names without end, those called but once go first.
+void Controller::make_room() {
+    for (std::size_t i = 0; functions_.size() >= most_functions && i < most_spared; ++i) {
+        Function& oldest = *functions_.oldest(most_called_once);
+        const bool out = std::any_of(oldest.beliefs.begin(), oldest.beliefs.end(), [](const Belief& b) { return b.out > 0; });
+        if (out || oldest.jobs > 0 || oldest.loading)
+            functions_.spare(oldest);
+        else
+            drop(oldest);
+    }
 }
 
 // ---------------------------------------------------------------- the fleet and its health
 
-Results Controller::fleet_changed(Time now, const std::vector<Invoker*>& changed, bool complete) {
-    enter(now);
-    if (complete)
-        for (Invoker* invoker : fleet_)
-            if (std::find(changed.begin(), changed.end(), invoker) == changed.end()) {
-                invoker->ready = false;
-                leave_list(*invoker);
-            }
-    for (Invoker* invoker : changed) {
-        const bool back = invoker->known && invoker->started && invoker->started != invoker->cold_from;
-        if (!invoker->known) {
-            invoker->known = true;
-            invoker->print = print_of(invoker->name);
-            invoker->pace = invoker->press = 1;
-            // Its units, where they hold still, are taken to be cores: one job of as many presses little.
-            const double part = may_.steady_units ? 1 / std::max(1.0, invoker->units) : 1;
-            if (invoker->kind->pace == 0) *invoker->kind = {1, std::min(assumed_press, part), 0, 0};
-            fleet_.push_back(invoker);
-        }
-        if (back) forget(*invoker);
-        invoker->cold_from = invoker->started;
-        invoker->listed = true;
-        // One seen to have started again later than the list says stays as cold as it was seen to be.
-        const bool young = invoker->started && now - *invoker->started < rules_.cold_for;
-        if (young && (!invoker->cold_since || *invoker->cold_since < *invoker->started))
-            begin_cold(*invoker, *invoker->started);
+// Functions that wait may have somewhere to go now. Beyond a bound they wait for their next resend (exception "turn").
+void Controller::list_changed() {
+    for (Function* function : functions_.waiting.members(most_released)) release(*function);
+}
+
+// What the list tells of an invoker.
+void Controller::take_up(Invoker& invoker) {
+    const bool back = invoker.known && invoker.started && invoker.started != invoker.cold_from;
+    if (!invoker.known) {
+        invoker.known = true;
+        invoker.print = hash_of(invoker.name);
+        invoker.pace = invoker.press = 1;
+        // Its units, where they hold still, are taken to be cores: one job of as many presses little.
+        const double part = may_.steady_units ? 1 / std::max(1.0, invoker.units) : 1;
+        if (invoker.kind->pace == 0) *invoker.kind = {1, std::min(assumed_press, part), 0, 0};
+        fleet_.add(invoker);
     }
-    ++list_;
-    for (Function* function : std::vector<Function*>(functions_)) release(*function);
-    return done();
-}
-
-void Controller::leave_list(Invoker& invoker) {
-    if (invoker.listed) invoker.left_list = now_;
-    invoker.listed = false;
-    forget(invoker);
-}
-
-Results Controller::list_broke(Time now) {
-    enter(now);
-    results_.follow_list = may_.ask_for_list;
-    return done();
+    if (back) forget(invoker);
+    invoker.cold_from = invoker.started;
+    invoker.listed = true;
+    index_.put(invoker, invoker.print, weight_of(invoker));
+    fleet_.set_left(invoker, false);
+    // One seen to have started again later than the list says stays as cold as it was seen to be.
+    const bool young = invoker.started && now_ - *invoker.started < rules_.cold_for;
+    if (young && (!invoker.cold_since || *invoker.cold_since < *invoker.started)) begin_cold(invoker, *invoker.started);
+    if (invoker.cold_since) fleet_.set_cold(invoker, *invoker.cold_since);
+    recount(invoker);
+}
+
+// Has the fleet's totals and the sweep's lists follow what has changed of an invoker.
+void Controller::recount(Invoker& invoker) {
+    const Standing standing = invoker.standing;
+    const bool bears = standing == Standing::trusted || standing == Standing::easing;
+    InvokerShare share;
+    share.ready = invoker.listed && invoker.ready;
+    share.good = bears && invoker.faulty <= most_faulty;
+    share.warm = standing == Standing::trusted && !invoker.cold_since;
+    share.watched = !invoker.out.empty() || !bears || invoker.faulty > 0;
+    share.attempts = invoker.out.size();
+    share.micro_units = std::llround(invoker.units * 1e6);
+    fleet_.set_share(invoker, share, invoker.used);
 }
 
 Results Controller::probe_answered(Time now, Invoker& invoker, bool answered, const Report& report) {
@@ -890,7 +936,7 @@
         case Standing::trusted:
             break;
         case Standing::suspect:
-            invoker.standing = Standing::trusted;
+            set_standing(invoker, Standing::trusted);
             break;
         case Standing::aside:
             // Guards against pushing over what has started again before the list says so (incident i4386e0).
@@ -898,11 +944,11 @@
             if (invoker.down) begin_cold(invoker, now_);
             invoker.down = false;
             if (invoker.answered < answers_back) break;
-            invoker.standing = Standing::easing;
+            set_standing(invoker, Standing::easing);
             invoker.easy = first_ease;
             break;
         case Standing::easing:
-            if (++invoker.easy >= eased) invoker.standing = Standing::trusted;
+            if (++invoker.easy >= eased) set_standing(invoker, Standing::trusted);
             break;
     }
 }
@@ -920,6 +966,7 @@
 // their cores idled).
 void Controller::turned_away(Invoker& invoker, bool stood) {
     if (stood) invoker.shun_until = now_ + shun;
+    if (invoker.no_room_until <= now_) no_room_.push_back(&invoker);
     invoker.no_room_until = now_ + no_room;
 }
 
@@ -930,10 +977,10 @@
     ++invoker.missed;
     const bool aside = certain || invoker.missed >= misses_aside;
     if (!aside && invoker.standing != Standing::aside) {
-        invoker.standing = Standing::suspect;
+        set_standing(invoker, Standing::suspect);
         if (may_.probe && !invoker.probing) probe(invoker);
     } else if (invoker.standing != Standing::aside) {
-        invoker.standing = Standing::aside;
+        set_standing(invoker, Standing::aside);
         invoker.aside_since = now_;
     }
     if (certain && !invoker.down) {
@@ -947,7 +994,7 @@
 // at once are not allowed, its hop is called off first, once the invoker is set aside.
 void Controller::rescue(Invoker& invoker) {
     if (doubting_) return;
-    for (Function* function : std::vector<Function*>(functions_))
+    for (Function* function : functions_.loading.members())
         if (function->loading == &invoker) load_over(*function);
     for (Hop* hop : std::vector<Hop*>(invoker.out)) {
         Job& job = *hop->job;
@@ -962,127 +1009,130 @@
 
 // A restart, or long silence: nothing stands loaded there any more.
 void Controller::forget(Invoker& invoker) {
-    for (Function* function : functions_)
-        if (Belief* belief = belief_of(*function, invoker)) {
-            belief->until = Time{};
-            belief->copies = 0;
-        }
+    for (Function* function : invoker.holders) {
+        Belief& belief = *belief_of(*function, invoker);
+        set_until(*function, belief, Time{});
+        belief.copies = 0;
+    }
     invoker.held.reset();
 }
 
-// The periodic work of an instance.
+// The periodic work of an instance: it costs what has happened since, not the size of the fleet.
 void Controller::sweep() {
-    std::size_t ready = 0, good = 0;
-    double units = 0, outs = 0, seen_units = 0;
-    std::vector<Invoker*> stale;
-    for (Invoker* invoker : fleet_) {
-        if (!invoker->listed || !invoker->ready) continue;
-        ++ready;
-        outs += static_cast<double>(invoker->out.size());
-        seen_units += invoker->units;
-        const Standing standing = invoker->standing;
-        const bool bears = standing == Standing::trusted || standing == Standing::easing;
-        if (bears && invoker->faulty <= most_faulty) ++good;
-        invoker->faulty *= fault_fade;
-        if (standing == Standing::trusted && !invoker->cold_since) units += invoker->units;
-        if (standing == Standing::aside) {
-            if (now_ - invoker->aside_since > copies_gone && !invoker->down) {
-                invoker->down = true;
-                forget(*invoker);
-            }
-            if (!may_.probe && now_ - invoker->aside_since > blind_aside) {
-                invoker->standing = Standing::easing;
-                invoker->easy = 1;
-            }
-        }
-        if (!may_.probe || invoker->probing) continue;
-        const bool ill = standing == Standing::suspect || standing == Standing::aside;
-        const bool quiet = now_ - invoker->heard > quiet_gap;
-        const bool rested = now_ - invoker->probed > probe_gap;
-        const Time pause = std::clamp(invoker->missed, 1, rarer) * sweep_period - sweep_slack;
-        const bool asked = now_ - invoker->probed < pause;
-        if ((ill && !asked) || (rested && overdue(*invoker)))
-            probe(*invoker);
-        else if (rested && (quiet || now_ - invoker->held_at > probe_gap))
-            stale.push_back(invoker);
-    }
-    // Reports only as far as the jobs taken pay for them, and first from those that were used last.
-    while (!stale.empty() && probes_left_ >= 1) {
-        const auto next = std::max_element(
-            stale.begin(), stale.end(), [](const Invoker* a, const Invoker* b) { return a->used < b->used; });
-        probe(**next);
-        stale.erase(next);
-        --probes_left_;
-    }
-    doubting_ = static_cast<double>(good) < doubt_share * static_cast<double>(ready);
+    ++sweeps_;
+    const FleetTotals totals = fleet_.totals();
+    for (Invoker* invoker : fleet_.watched()) review(*invoker);
+    if (may_.probe) ask_for_reports();
+    doubting_ = static_cast<double>(totals.good) < doubt_share * static_cast<double>(totals.ready);
+    const double units = static_cast<double>(totals.warm_micro_units) / 1e6;
+    const double seen_units = static_cast<double>(totals.ready_micro_units) / 1e6;
     if (units > 0) rate_ += 0.1 * (honoured_lately_ / in_seconds(sweep_period) / units - rate_);
     honoured_lately_ = 0;
     level_span_ = std::clamp(level_jobs * level_span_ / std::max(level_, 1.0), least_span, most_span);
     if (seen_units > 0) {
-        own_crowd_ += 0.1 * (outs / seen_units - own_crowd_);
+        own_crowd_ += 0.1 * (static_cast<double>(totals.attempts) / seen_units - own_crowd_);
         crowd_ = own_crowd_ * others_a_job();
     }
 
     if (may_.order_copies && may_.memory_price > 0)
-        for (Function* function : functions_) unload_spare(*function);
+        for (Function* function : functions_.spread.members()) unload_spare(*function);
+    std::erase_if(no_room_, [&](const Invoker* invoker) { return invoker->no_room_until <= now_; });
     release_gone();
+    for (Function* function : functions_.take_due(now_)) review(*function);
+}
+
+// Of an invoker that has attempts out, is in doubt or has erred.
+void Controller::review(Invoker& invoker) {
+    if (!invoker.listed || !invoker.ready) return;
+    const Standing standing = invoker.standing;
+    if (invoker.faulty > 0) {
+        invoker.faulty = invoker.faulty * fault_fade < no_fault ? 0 : invoker.faulty * fault_fade;
+        recount(invoker);
+    }
+    if (standing == Standing::aside) {
+        if (now_ - invoker.aside_since > copies_gone && !invoker.down) {
+            invoker.down = true;
+            forget(invoker);
+        }
+        if (!may_.probe && now_ - invoker.aside_since > blind_aside) {
+            set_standing(invoker, Standing::easing);
+            invoker.easy = 1;
+        }
+    }
+    if (!may_.probe || invoker.probing) return;
+    const bool ill = standing == Standing::suspect || standing == Standing::aside;
+    const bool rested = now_ - invoker.probed > probe_gap;
+    const Time pause = std::clamp(invoker.missed, 1, rarer) * sweep_period - sweep_slack;
+    const bool asked = now_ - invoker.probed < pause;
+    if ((ill && !asked) || (rested && overdue(invoker))) probe(invoker);
+}
+
+// Reports only as far as the jobs taken pay for them, and first from those that were used last.
+void Controller::ask_for_reports() {
+    if (probes_left_ < 1) return;
+    std::size_t visited = 0;
+    fleet_.for_recently_used([&](Invoker& invoker) {
+        const bool quiet = now_ - invoker.heard > quiet_gap;
+        const bool rested = now_ - invoker.probed > probe_gap;
+        if (!invoker.probing && rested && (quiet || now_ - invoker.held_at > probe_gap)) {
+            probe(invoker);
+            --probes_left_;
+        }
+        return probes_left_ >= 1 && ++visited < most_swept;
+    });
+}
 
-    std::erase_if(functions_, [&](Function* function) {
-        std::erase_if(function->beliefs, [&](const Belief& b) { return b.out == 0 && b.until <= now_; });
-        const bool idle = function->jobs == 0 && function->beliefs.empty() && !function->loading &&
-                          now_ - function->seen > forget_function;
-        if (idle) results_.forgotten.push_back(function);
-        return idle;
+// Takes out the beliefs of a function that have lapsed, and the function once it is not in use any more.
+void Controller::review(Function& function) {
+    function.beliefs.erase_if([&](const Belief& belief) {
+        const bool lapsed = belief.out == 0 && belief.until <= now_;
+        if (lapsed) std::erase(belief.invoker->holders, &function);
+        return lapsed;
     });
+    functions_.spread.set(function, function.beliefs.size() > 1);
+    if (function.jobs == 0 && function.beliefs.empty() && !function.loading && now_ - function.seen > forget_function)
+        return drop(function);
+    Time next = std::max(function.seen + forget_function, now_ + Time(1));
+    for (const Belief& belief : function.beliefs)
+        if (belief.until > now_) next = std::min(next, belief.until);
+    functions_.check(function, next);
 }
 
 // Lets go of invokers that are off the list for good, once no belief, load, probe or unclosed job points
 // to them: else a fleet that is replaced all day fills the memory.
 void Controller::release_gone() {
-    std::erase_if(fleet_, [&](Invoker* invoker) {
-        const bool old = !invoker->listed && now_ - invoker->left_list > release_invoker;
-        if (!old || !invoker->out.empty() || invoker->probing) return false;
-        for (const Function* function : functions_) {
-            if (function->loading == invoker) return false;
-            for (const Job* job : function->parked)
-                if (points_to(*job, *invoker)) return false;
-        }
-        for (const Invoker* each : fleet_)
-            for (const Hop* hop : each->out)
-                if (points_to(*hop->job, *invoker)) return false;
-        for (Function* function : functions_)
-            std::erase_if(function->beliefs, [&](const Belief& b) { return b.invoker == invoker; });
-        invoker->known = false;
-        results_.released.push_back(invoker);
-        return true;
+    std::vector<Invoker*> old = fleet_.left();
+    std::erase_if(old, [&](const Invoker* it) {
+        return now_ - it->left_list <= release_invoker || !it->out.empty() || it->probing;
     });
-}
-
-bool Controller::points_to(const Job& job, const Invoker& invoker) const {
-    return std::any_of(job.hops.begin(), job.hops.end(), [&](const Hop& h) { return h.invoker == &invoker; });
+    if (old.empty()) return;
+    mark_named();
+    for (Invoker* invoker : old)
+        if (invoker->named_in != sweeps_) let_go(*invoker);
 }
 
 // Where idle memory has a price: a function that stands at several invokers gives up those where it idles,
 // but for the first in the shared order, which other controllers keep to as well.
 void Controller::unload_spare(Function& function) {
     Belief* kept = nullptr;
+    const auto rank = [&](const Belief& belief) {
+        return placement_rank(function.print, belief.invoker->print, weight_of(*belief.invoker));
+    };
     for (Belief& belief : function.beliefs)
-        if (believed(&belief) && (!kept || rank(function, *belief.invoker) < rank(function, *kept->invoker)))
-            kept = &belief;
+        if (believed(&belief) && (!kept || rank(belief) < rank(*kept))) kept = &belief;
     for (Belief& belief : function.beliefs) {
         if (!believed(&belief) || &belief == kept || belief.out > 0 || !may_send_to(*belief.invoker))
             continue;
         if (belief.until - may_.keep_alive + idle_spare * std::max(1, may_.controllers) > now_) continue;
         results_.ordered.push_back({&function, belief.invoker, 0});
-        belief.until = Time{};
+        set_until(function, belief, Time{});
         belief.copies = 0;
     }
 }
 
-// Its place in the order that all controllers share; less is earlier.
-double Controller::rank(const Function& function, const Invoker& invoker) const {
-    const double u = (static_cast<double>(mix(function.print ^ invoker.print) >> 11) + 0.5) * 0x1p-53;
-    return -std::log(u) / (may_.steady_units && invoker.units > 0 ? invoker.units : 1);
+// By which it is placed in the order that all controllers share.
+double Controller::weight_of(const Invoker& invoker) const {
+    return may_.steady_units && invoker.units > 0 ? invoker.units : 1;
 }
 
 // ---------------------------------------------------------------- time
@@ -1096,7 +1146,8 @@
 
 Results Controller::wake(Time now) {
     enter(now);
-    while (!due_.empty() && due_.begin()->first.first <= now) {
+    // Exception "turn": what is left goes on at the next call, which is due at once.
+    for (std::size_t done = 0; done < most_due && !due_.empty() && due_.begin()->first.first <= now; ++done) {
         const Due due = due_.begin()->second;
         if (due.job) {
             give_up(*due.job, Why::time_up);  // its time is up
@@ -1104,7 +1155,7 @@
         }
         Function& function = *due.function;
         if (now >= function.clock + park_budget) {
-            function.ticking = false;
+            set_ticking(function, false);
             drop_due(function.due);
             for (Job* job : std::vector<Job*>(function.parked)) give_up(*job, Why::parked_long);  // step 4
             continue;
@@ -1117,17 +1168,6 @@
     return done();
 }
 
-void Controller::set_due(Ticket& slot, Time at, Due what) {
-    drop_due(slot);
-    slot = {at, ++tickets_};
-    due_.emplace(slot, what);
-}
-
-void Controller::drop_due(Ticket& slot) {
-    if (slot.second) due_.erase(slot);
-    slot = {};
-}
-
 Results Controller::done() {
     if (sweep_at_ == Time{}) {
         sweep_at_ = now_ + span_of(in_seconds(sweep_period) * (0.5 + chance()));
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -4,10 +4,19 @@
 
 #include <map>
 
-#include "types.hpp"
+#include "dispatch/types.hpp"
 
 namespace plumkeel {
 
+// Counts of what decisions cost, over the controller's life: of invokers looked at, which do not depend on the machine.
+struct DecisionWork {
+    std::uint64_t choices{};
+    std::uint64_t visited{};  // asked whether they may be sent anything
+    std::uint64_t weighed{};  // of these, how soon they would answer
+    std::uint64_t hashed{};   // ranked for a function
+    std::uint64_t swept{};    // looked at by periodic work or because of a list
+};
+
 class Controller {
 public:
     Controller(std::uint64_t seed, Rulebook rules, Allowances may);
@@ -15,6 +24,8 @@
     // From now on Results tell so much of the reasons; it changes nothing that is decided.
     void tell(Tell how_much) { tell_ = how_much; }
     std::size_t parked() const { return parked_; }
+    std::size_t functions() const { return functions_.size(); }
+    DecisionWork work() const;
 
     Results take(Time now, Job& job);
     Results hop_accepted(Time now, Hop& hop);
@@ -22,6 +33,8 @@
     Results client_left(Time now, Job& job);
     // Invokers whose facts changed; with `complete`, all others are gone.
     Results fleet_changed(Time now, const std::vector<Invoker*>& changed, bool complete);
+    // Invokers that are gone; all others stay as they are.
+    Results fleet_left(Time now, const std::vector<Invoker*>& gone);
     Results list_broke(Time now);
     Results probe_answered(Time now, Invoker& invoker, bool answered, const Report& report);
     Results load_answered(Time now, Function& function, Invoker& invoker, Ending ending, int copies);
@@ -51,8 +64,33 @@
     void start_hop(Job& job, const Choice& choice, Why why);
     void expect_load(Function& function);
     void load_over(Function& function);
+    // A choice under way.
+    struct Search {
+        Job& job;
+        Function& function;
+        std::size_t shared{}, wanted{};  // homes that all controllers use; homes to be weighed
+        bool kept{};                     // the shared ones are taken to hold the function
+        double near{};                   // seconds that make no difference
+        bool bounded{};                  // the fleet is too large for all of it to be visited
+        std::size_t visits_left{};
+        std::size_t looked{}, found{};   // homes that could be weighed; of these, that can take the job
+        std::size_t next{};              // place in the shared order from which on none was visited
+        std::vector<Invoker*> usable{};  // of those visited, in the shared order
+        Choice best{};
+        int ties{};
+    };
     Choice choose(Job& job);
-    const std::vector<Invoker*>& shared_order(Function& function);
+    Search start_search(Job& job) const;
+    void look_at_homes(Search& search);
+    void look_at_beliefs(Search& search);
+    void look_for_calm(Search& search);
+    Invoker* visit(Search& search, std::size_t place);
+    bool usable(Search& search, Invoker& invoker);
+    Bar bar_of(Invoker& invoker);
+    void weigh_home(Search& search, Invoker* invoker);
+    bool weigh(Search& search, Invoker& invoker, double bias, bool kept);
+    void tell_weighed(const Choice& choice, Bar bar);
+    bool room_is_short();
     bool erred_there(const Job& job, const Invoker& invoker) const;
     double estimate(const Function& function, const Invoker& invoker, const Belief* belief,
                     Choice& choice) const;
@@ -61,6 +99,8 @@
     bool may_bounce(const Job& job) const;
     bool may_send_to(Invoker& invoker);
     void begin_cold(Invoker& invoker, Time since);
+    void end_cold(Invoker& invoker);
+    void end_cold_starts();
     bool may_order();
 
     void blame(const Hop& hop);
@@ -76,18 +116,32 @@
     void turned_away(Invoker& invoker, bool stood);
     bool stood_free(const Hop& hop, int company) const;
     void rescue(Invoker& invoker);
+    void take_up(Invoker& invoker);
     void leave_list(Invoker& invoker);
+    void list_changed();
     void forget(Invoker& invoker);
+    void recount(Invoker& invoker);
+    void set_standing(Invoker& invoker, Standing standing);
     void sweep();
+    void review(Invoker& invoker);
+    void ask_for_reports();
+    void review(Function& function);
     void release_gone();
-    bool points_to(const Job& job, const Invoker& invoker) const;
+    void let_go(Invoker& invoker);
+    void mark_named();
+    void mark_named(const Job& job);
     void unload_spare(Function& function);
-    double rank(const Function& function, const Invoker& invoker) const;
+    double weight_of(const Invoker& invoker) const;
     void set_due(Ticket& slot, Time at, Due what);
     void drop_due(Ticket& slot);
     void clock_due(Function& function);
 
     void meet(Function& function);
+    void make_room();
+    void drop(Function& function);
+    void set_loading(Function& function, Invoker* invoker);
+    void set_ticking(Function& function, bool ticking);
+    void set_until(Function& function, Belief& belief, Time until);
     bool believed(const Belief* belief) const;
     Belief* belief_of(Function& function, const Invoker& invoker) const;
     Belief& believe(Function& function, Invoker& invoker);
@@ -105,8 +159,12 @@
     Results results_;
     Tell tell_{};
     std::vector<Weighed> weighed_;  // by the last choose(), to be told
-    std::vector<Invoker*> fleet_;
-    std::vector<Function*> functions_;
+    FleetTable fleet_;
+    FunctionTable functions_;
+    PlacementIndex index_;
+    std::vector<Invoker*> no_room_;  // that turned something away a moment ago
+    DecisionWork work_;
+    std::uint64_t sweeps_{};
     std::map<Ticket, Due> due_;
     std::uint64_t tickets_{};
     Time sweep_at_{}, back_at_{};
@@ -124,7 +182,7 @@
     Time seen_{};
     double shares_{};  // of all tenants met, in jobs a second
     double pushed_out_{};              // of the hops to a copy taken to stand, the part that found none
-    int list_{};                       // how often the list has changed
+    std::uint64_t list_{};             // how often the list has changed
     std::deque<Time> taken_, orders_;  // kept for the ration only
 };
 
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -12,6 +12,11 @@
 #include <utility>
 #include <vector>
 
+#include "dispatch/belief_table.hpp"
+#include "dispatch/fleet_table.hpp"
+#include "dispatch/function_table.hpp"
+#include "dispatch/placement_index.hpp"
+
 namespace plumkeel {
 
 using Time = std::chrono::microseconds;         // a span, or a moment as the span since the instance's start
@@ -150,15 +155,6 @@
     }
 };
 
-struct Belief {  // what the controller takes a function's standing at one invoker to be
-    Invoker* invoker{};
-    Time until{};  // it lapses then
-    int out{};     // own hops of the function there
-    int copies{};  // thought to stand there
-    int peak{};    // most own hops there at once, lately
-    Time peaked{};
-};
-
 struct Function {
     std::string name;  // set at the door, down to `told_load`
     int lanes{};
@@ -168,7 +164,7 @@
     std::uint64_t print{};
     double run{};   // learned, in seconds on an idle average invoker
     double load{};  // learned, in seconds
-    std::vector<Belief> beliefs;
+    BeliefTable beliefs;
     std::vector<Job*> parked;
     Invoker* loading{};  // where its one load is out
     Time loading_since{};
@@ -179,10 +175,9 @@
     Ticket due{};
     Time seen{};
     double level{};  // a fading count of arrivals
-    std::vector<Invoker*>
-        order;  // the fleet, as the controllers rank it for this function, of list `order_of`
-    int order_of{};
-    int jobs{};  // unclosed
+    PlacementIndex::Homes homes;  // the first invokers, as the controllers rank them for this function
+    int jobs{};                   // unclosed
+    FunctionPlace place;
 };
 
 // What is learned of all invokers of a kind; `pace` and `press` of one are relative to these.
@@ -223,6 +218,9 @@
     std::deque<std::pair<Time, int>> moves;  // lately sent and ended
     int lately{};                            // the sum of these
     Time shun_until{}, no_room_until{};
+    std::vector<Function*> holders;           // functions with a belief of it
+    std::uint64_t told_in{}, weighed_in{}, named_in{};  // the last list, choice and sweep in which it came up
+    InvokerPlace place;
 };
 
 struct CopyOrder {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -274,25 +274,31 @@
         invokers.push_back(post.get());
     }
     feed([&](trace::Watched& it, Time now) { return it.fleet_changed(now, invokers, complete); });
-    withdraw();
+    if (complete)
+        for (const auto& [name, post] : posts_) withdraw(*post);
+    else
+        for (Invoker* invoker : invokers) withdraw(static_cast<Post&>(*invoker));
 }
 
-// The module is told of the whole list without them.
 void Gateway::fleet_gone(const std::vector<std::string>& names) {
-    std::vector<Invoker*> rest;
-    for (const auto& [name, post] : posts_)
-        if (post->listed && std::find(names.begin(), names.end(), name) == names.end()) rest.push_back(post.get());
-    feed([&](trace::Watched& it, Time now) { return it.fleet_changed(now, rest, true); });
-    withdraw();
-}
-
-void Gateway::withdraw() {
-    // The module sends nothing new to what takes no more; what waits here for a connection is new as well.
-    for (const auto& [name, post] : posts_)
-        if (!post->ready || !post->listed) {
-            if (!post->drains_since) post->drains_since = world_.now();
-            post->pool->withdraw();
-        }
+    std::vector<Invoker*> gone;
+    for (const std::string& name : names)
+        if (const auto found = posts_.find(name); found != posts_.end() && found->second->listed) gone.push_back(found->second.get());
+    const auto still_listed = [&] {
+        std::vector<Invoker*> out;
+        for (const auto& [name, post] : posts_)
+            if (post->listed && std::find(gone.begin(), gone.end(), post.get()) == gone.end()) out.push_back(post.get());
+        return out;
+    };
+    feed([&](trace::Watched& it, Time now) { return it.fleet_left(now, gone, still_listed); });
+    for (Invoker* invoker : gone) withdraw(static_cast<Post&>(*invoker));
+}
+
+// The module sends nothing new to what takes no more; what waits here for a connection is new as well.
+void Gateway::withdraw(Post& post) {
+    if (post.ready && post.listed) return;
+    if (!post.drains_since) post.drains_since = world_.now();
+    post.pool->withdraw();
 }
 
 // ---------------------------------------------------------------- carrying out
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -103,7 +103,7 @@
     bool hop_begins(HopErrand& errand, unsigned status, const std::string& passed);
     std::optional<Time> list_told() const { return list_told_ ? list_told_() : std::nullopt; }
 
-    void withdraw();
+    void withdraw(Post& post);
     void let_go(Post& post);
     void see_off(std::shared_ptr<Post> post);
     void carry_out(const Results& results);
--- a/src/trace/calls.cpp
+++ b/src/trace/calls.cpp
@@ -134,17 +134,24 @@
     return tell(now, id, controller_.client_left(now, job));
 }
 
+void Watched::record_list(Time now, const std::vector<Invoker*>& told, bool complete) {
+    FleetChanged list{complete, 0, {}};
+    for (const Invoker* each : told)
+        list.changed.push_back({number_of(*each, now), each->ready, each->units, each->zone,
+                                kinds_.try_emplace(each->kind, kinds_.size()).first->second, each->cell, each->started});
+    record(now, Told::fleet_changed, 0, list);
+}
+
 Results Watched::fleet_changed(Time now, const std::vector<Invoker*>& changed, bool complete) {
-    if (recorded_) {
-        FleetChanged told{complete, 0, {}};
-        for (const Invoker* each : changed)
-            told.changed.push_back({number_of(*each, now), each->ready, each->units, each->zone,
-                                    kinds_.try_emplace(each->kind, kinds_.size()).first->second, each->cell, each->started});
-        record(now, Told::fleet_changed, 0, told);
-    }
+    if (recorded_) record_list(now, changed, complete);
     return tell(now, 0, controller_.fleet_changed(now, changed, complete));
 }
 
+Results Watched::fleet_left(Time now, const std::vector<Invoker*>& gone, const std::function<std::vector<Invoker*>()>& still_listed) {
+    if (recorded_) record_list(now, still_listed(), true);
+    return tell(now, 0, controller_.fleet_left(now, gone));
+}
+
 Results Watched::list_broke(Time now) {
     if (recorded_) record(now, Told::list_broke, 0);
     return tell(now, 0, controller_.list_broke(now));
--- a/src/trace/calls.hpp
+++ b/src/trace/calls.hpp
@@ -27,6 +27,8 @@
     Results hop_ended(Time now, Hop& hop, Ending ending, Note note, int company, const Report& report);
     Results client_left(Time now, Job& job);
     Results fleet_changed(Time now, const std::vector<Invoker*>& changed, bool complete);
+    // Recorded as the whole list without them, which means the same.
+    Results fleet_left(Time now, const std::vector<Invoker*>& gone, const std::function<std::vector<Invoker*>()>& still_listed);
     Results list_broke(Time now);
     Results probe_answered(Time now, Invoker& invoker, bool came, const Report& report);
     Results load_answered(Time now, Function& function, Invoker& invoker, Ending ending, int copies);
@@ -34,6 +36,7 @@
     std::size_t parked() const { return controller_.parked(); }
 
 private:
+    void record_list(Time now, const std::vector<Invoker*>& told, bool complete);
     std::uint64_t number_of(const Function& function, Time now);
     std::uint64_t number_of(const Invoker& invoker, Time now);
     template <class T>
--- a/tests/platform_bytes.hpp
+++ b/stand/platform_bytes.hpp
@@ -1,4 +1,4 @@
-// Bytes of the platform's protocols as their other sides write and read them, for tests.
+// Bytes of the platform's protocols as their other sides write and read them: clients, invokers, the notice board.
 #pragma once
 
 #include <fmt/format.h>
--- a/tests/codec_fuzz.cpp
+++ b/tests/codec_fuzz.cpp
@@ -6,7 +6,7 @@
 #include "chance/pcg.hpp"
 #include "fastcgi/records.hpp"
 #include "runline/words.hpp"
-#include "tests/platform_bytes.hpp"
+#include "stand/platform_bytes.hpp"
 
 using namespace plumkeel;
 
--- /dev/null
+++ b/tests/decision_bounds_test.cpp
@@ -0,0 +1,204 @@
+// What the module's bounds promise: functions held, invokers visited a choice, work a turn; and that below them nothing is lost.
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+#include "chance/pcg.hpp"
+#include "dispatch/controller.hpp"
+
+namespace plumkeel {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t functions_at_most = 16'384;
+
+// A host that answers every attempt at once, or leaves it out.
+class DecisionBounds : public testing::Test {
+protected:
+    DecisionBounds() : controller_(3, rules(), allowances()) { use_.promised = 1800ms; }
+
+    static Rulebook rules() {
+        Rulebook out;
+        out.cold_for = 20s;
+        out.cold_share = 0.25;
+        out.push_multiple = 2;
+        out.push_span = 1s;
+        return out;
+    }
+    static Allowances allowances() {
+        Allowances out;
+        out.call_off = out.probe = out.retry_after = out.loads_on_demand = out.steady_units = true;
+        out.hops = 4;
+        out.controllers = 7100;
+        out.keep_alive = 60s;
+        out.longest_retry_after = 2s;
+        out.tick = 1ms;
+        return out;
+    }
+
+    void fleet(std::size_t size, bool ready = true) {
+        std::vector<Invoker*> all;
+        for (std::size_t i = 0; i < size; ++i) {
+            if (fleet_.size() <= i) fleet_.push_back(std::make_unique<Invoker>());
+            Invoker& invoker = *fleet_[i];
+            invoker.name = "s-" + std::to_string(i);
+            invoker.ready = ready;
+            invoker.units = 4;
+            invoker.kind = &kind_;
+            all.push_back(&invoker);
+        }
+        carry_out(controller_.fleet_changed(now_, all, true));
+    }
+
+    Job& take(const std::string& name) {
+        std::unique_ptr<Function>& function = functions_[name];
+        if (!function) {
+            function = std::make_unique<Function>();
+            function->name = name;
+            function->lanes = 1;
+        }
+        Job& job = *jobs_.emplace_back(std::make_unique<Job>());
+        job.id = jobs_.size();
+        job.use_case = &use_;
+        job.function = function.get();
+        job.time_left = 5s;
+        carry_out(controller_.take(now_, job));
+        return job;
+    }
+
+    void carry_out(const Results& results) {
+        for (const Function* function : results.forgotten) {
+            forgotten_.insert(function->name);
+            functions_.erase(std::string(function->name));
+        }
+        next_wake_ = results.next_wake;
+        for (Invoker* invoker : results.probed) carry_out(controller_.probe_answered(now_, *invoker, true, {}));
+        if (!answers_) return;
+        for (Hop* hop : results.started)
+            carry_out(controller_.hop_ended(now_, *hop, Ending::honoured, Note::stood_loaded, 0, {}));
+    }
+
+    void wait(Time span) {
+        for (const Time until = now_ + span; now_ < until;) {
+            now_ = std::min(until, std::max(now_, next_wake_));
+            if (now_ >= next_wake_) carry_out(controller_.wake(now_));
+        }
+    }
+
+    Time now_{};
+    Time next_wake_ = Time::max();
+    bool answers_ = true;
+    UseCase use_;
+    Kind kind_;
+    std::vector<std::unique_ptr<Invoker>> fleet_;
+    std::vector<std::unique_ptr<Job>> jobs_;
+    std::unordered_map<std::string, std::unique_ptr<Function>> functions_;
+    std::set<std::string> forgotten_;
+    Controller controller_;
+};
+
+TEST_F(DecisionBounds, NamesWithoutEndAreHeldUpToABound) {
+    fleet(20);
+    for (std::size_t i = 0; i < 3 * functions_at_most; ++i) {
+        take("once-" + std::to_string(i));
+        now_ += 10us;
+        ASSERT_LE(controller_.functions(), functions_at_most);
+    }
+    EXPECT_EQ(controller_.functions(), functions_.size()) << "the host was told of each that was let go";
+}
+
+TEST_F(DecisionBounds, AFunctionCalledAgainOutlivesAFloodOfOthers) {
+    fleet(20);
+    take("favourite");
+    take("favourite");
+    for (std::size_t i = 0; i < 2 * functions_at_most; ++i) take("once-" + std::to_string(i));
+    EXPECT_EQ(forgotten_.count("favourite"), 0u);
+    EXPECT_EQ(forgotten_.count("once-0"), 1u);
+}
+
+TEST_F(DecisionBounds, AFunctionWithARequestOutIsNeverLetGo) {
+    fleet(20);
+    answers_ = false;
+    Job& job = take("held");
+    ASSERT_EQ(job.state, JobState::hopping);
+    answers_ = true;
+    for (std::size_t i = 0; i < 2 * functions_at_most; ++i) take("once-" + std::to_string(i));
+    EXPECT_EQ(forgotten_.count("held"), 0u);
+    carry_out(controller_.hop_ended(now_, job.hops.front(), Ending::honoured, Note::stood_loaded, 0, {}));
+    EXPECT_EQ(job.state, JobState::honoured);
+    for (std::size_t i = 0; i < 2 * functions_at_most; ++i) take("later-" + std::to_string(i));
+    EXPECT_EQ(forgotten_.count("held"), 1u) << "and then it goes as any other";
+}
+
+TEST_F(DecisionBounds, AFunctionWithARequestParkedIsNeverLetGo) {
+    fleet(4, false);
+    Job& job = take("parked");
+    ASSERT_EQ(job.state, JobState::parked);
+    for (std::size_t i = 0; i < 2 * functions_at_most; ++i) {
+        Job& other = take("once-" + std::to_string(i));
+        if (!other.answered()) carry_out(controller_.client_left(now_, other));
+    }
+    EXPECT_EQ(forgotten_.count("parked"), 0u);
+    fleet(4, true);
+    EXPECT_EQ(job.state, JobState::honoured) << "it is still sent when it can be";
+}
+
+TEST_F(DecisionBounds, AFavouriteOfALargeFleetIsWeighedAtAFewInvokers) {
+    fleet(3000);
+    Pcg random(1);
+    for (int i = 0; i < 3000; ++i) {
+        take(random.next() < 0.5 ? "favourite" : "rare-" + std::to_string(i % 50));
+        wait(10ms);
+    }
+    const DecisionWork work = controller_.work();
+    EXPECT_LE(static_cast<double>(work.visited), 64.0 * static_cast<double>(work.choices));
+    std::set<const Invoker*> used;
+    for (const auto& job : jobs_)
+        if (job->function->name == "favourite") used.insert(job->hops.back().invoker);
+    EXPECT_GT(used.size(), 500u) << "chance spreads it over its homes, not over the first of them";
+}
+
+TEST_F(DecisionBounds, AllDueAtOnceIsDoneInTurnsAndNothingIsLost) {
+    fleet(100, false);
+    for (int i = 0; i < 1000; ++i) take("parked-" + std::to_string(i));
+    ASSERT_EQ(controller_.parked(), 1000u);
+    const auto before = controller_.work().choices;
+    now_ = next_wake_;
+    while (now_ < 100ms) {
+        carry_out(controller_.wake(now_));
+        now_ = next_wake_;
+    }
+    carry_out(controller_.wake(now_));
+    EXPECT_LE(controller_.work().choices - before, 64u) << "1,000 clocks end at the same moment";
+    EXPECT_LE(next_wake_, now_) << "the rest is due at once";
+    fleet(100, true);
+    wait(2s);
+    for (const auto& job : jobs_) EXPECT_EQ(job->state, JobState::honoured);
+}
+
+TEST_F(DecisionBounds, GoneOnesAreLetGoAndTheRestIsUntouched) {
+    fleet(200);
+    for (int i = 0; i < 2000; ++i) {
+        take("f-" + std::to_string(i % 100));
+        wait(1ms);
+    }
+    std::vector<Invoker*> gone;
+    for (std::size_t i = 0; i < 100; ++i) gone.push_back(fleet_[i].get());
+    carry_out(controller_.fleet_left(now_, gone));
+    const std::size_t before = jobs_.size();
+    for (int i = 0; i < 1000; ++i) {
+        take("f-" + std::to_string(i % 100));
+        wait(10ms);
+    }
+    for (std::size_t i = before; i < jobs_.size(); ++i)
+        for (const Hop& hop : jobs_[i]->hops) EXPECT_TRUE(hop.invoker->listed);
+    for (const Invoker* invoker : gone) EXPECT_FALSE(invoker->known) << "let go after five seconds";
+    fleet(200);
+    EXPECT_TRUE(fleet_[0]->known) << "and taken up again under the old name";
+}
+
+}  // namespace
+}  // namespace plumkeel
--- /dev/null
+++ b/tests/placement_index_test.cpp
@@ -0,0 +1,153 @@
+// The index against the order it stands for: every invoker ranked for the key, sorted.
+#include "dispatch/placement_index.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+
+#include "chance/pcg.hpp"
+#include "dispatch/hash.hpp"
+#include "dispatch/types.hpp"
+
+namespace plumkeel {
+namespace {
+
+class PlacementIndexTest : public testing::Test {
+protected:
+    Invoker* add(double weight = 1) {
+        Invoker& invoker = *invokers_.emplace_back(std::make_unique<Invoker>());
+        invoker.name = "s-" + std::to_string(invokers_.size());
+        put(invoker, weight);
+        return &invoker;
+    }
+    void put(Invoker& invoker, double weight) {
+        index_.put(invoker, hash_of(invoker.name), weight);
+        listed_[&invoker] = weight;
+    }
+    void remove(Invoker& invoker) {
+        index_.remove(invoker);
+        listed_.erase(&invoker);
+    }
+    std::vector<const Invoker*> expected(std::uint64_t key, std::size_t count) const {
+        std::vector<std::pair<double, const Invoker*>> ranked;
+        for (const auto& [invoker, weight] : listed_) ranked.emplace_back(placement_rank(key, hash_of(invoker->name), weight), invoker);
+        std::sort(ranked.begin(), ranked.end());
+        std::vector<const Invoker*> out;
+        for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i) out.push_back(ranked[i].second);
+        return out;
+    }
+    std::vector<const Invoker*> found(std::uint64_t key, PlacementIndex::Homes& homes, std::size_t count) {
+        std::vector<const Invoker*> out;
+        for (const auto& place : index_.find(key, homes, count)) out.push_back(place.invoker);
+        EXPECT_GE(out.size(), std::min(count, listed_.size()));
+        out.resize(std::min(count, out.size()));
+        return out;
+    }
+
+    PlacementIndex index_;
+    std::vector<std::unique_ptr<Invoker>> invokers_;
+    std::map<const Invoker*, double> listed_;
+};
+
+TEST_F(PlacementIndexTest, AnEmptyOneFindsNothing) {
+    PlacementIndex::Homes homes;
+    EXPECT_TRUE(index_.find(7, homes, 3).empty());
+}
+
+TEST_F(PlacementIndexTest, FindsTheFirstPlacesOfTheWholeOrder) {
+    for (int i = 0; i < 1000; ++i) add(1 + i % 5);
+    for (std::uint64_t key = 1; key < 200; ++key)
+        for (const std::size_t count : {1, 3, 64, 900, 1000, 2000}) {
+            PlacementIndex::Homes homes;
+            EXPECT_EQ(found(mix(key), homes, count), expected(mix(key), count)) << key << " " << count;
+        }
+}
+
+TEST_F(PlacementIndexTest, WeightsFarApartAreFoundAsWell) {
+    add(1000);
+    for (int i = 0; i < 300; ++i) add(i % 3 ? 0.001 : 40);
+    for (std::uint64_t key = 1; key < 50; ++key) {
+        PlacementIndex::Homes homes;
+        EXPECT_EQ(found(mix(key), homes, 200), expected(mix(key), 200));
+    }
+}
+
+// Homes kept by their owners while the list changes, each looked at now and then, some seldom.
+TEST_F(PlacementIndexTest, FollowsChangesAsASearchWould) {
+    Pcg random(5);
+    for (int i = 0; i < 300; ++i) add(4);
+    struct Owner {
+        std::uint64_t key;
+        std::size_t count;
+        PlacementIndex::Homes homes;
+    };
+    std::vector<Owner> owners;
+    for (std::uint64_t i = 0; i < 40; ++i) owners.push_back({mix(i + 1), i % 4 ? std::size_t{3} : std::size_t{120}, {}});
+    for (int step = 0; step < 4000; ++step) {
+        Invoker& any = *invokers_[static_cast<std::size_t>(random.next() * static_cast<double>(invokers_.size()))];
+        const double what = random.next();
+        if (what < 0.3)
+            remove(any);
+        else if (what < 0.9)
+            put(any, 1 + static_cast<int>(random.next() * 4));
+        else
+            add(4);
+        Owner& owner = owners[static_cast<std::size_t>(random.next() * random.next() * static_cast<double>(owners.size()))];
+        ASSERT_EQ(found(owner.key, owner.homes, owner.count), expected(owner.key, owner.count)) << step;
+    }
+    for (Owner& owner : owners) EXPECT_EQ(found(owner.key, owner.homes, owner.count), expected(owner.key, owner.count));
+}
+
+TEST_F(PlacementIndexTest, AChangeCostsInStepWithTheChange) {
+    for (int i = 0; i < 10'000; ++i) add();
+    PlacementIndex::Homes homes;
+    index_.find(mix(9), homes, 3);
+    const auto before = index_.hashed();
+    for (int i = 0; i < 100; ++i) {
+        remove(*invokers_[static_cast<std::size_t>(i)]);
+        index_.find(mix(9), homes, 3);
+    }
+    EXPECT_LE(index_.hashed() - before, 100u + 10'000u) << "one look a change, and at most one new search";
+}
+
+TEST_F(PlacementIndexTest, KeepsFewPlacesHoweverLargeTheFleet) {
+    for (int i = 0; i < 10'000; ++i) add();
+    for (std::uint64_t key = 1; key < 100; ++key) {
+        PlacementIndex::Homes homes;
+        index_.find(mix(key), homes, 3);
+        EXPECT_LE(homes.first.size(), 64u);
+        index_.find(mix(key), homes, 5000);
+        EXPECT_GE(homes.first.size(), 5000u);
+        index_.find(mix(key), homes, 3);
+        EXPECT_LE(homes.first.size(), 64u) << "what is not needed any more is let go";
+    }
+}
+
+TEST_F(PlacementIndexTest, AnUnchangedWeightIsNoChange) {
+    Invoker& invoker = *add(2);
+    for (int i = 0; i < 100; ++i) add(2);
+    PlacementIndex::Homes homes;
+    index_.find(mix(3), homes, 3);
+    const auto before = index_.hashed();
+    for (int i = 0; i < 1000; ++i) put(invoker, 2);
+    index_.find(mix(3), homes, 3);
+    EXPECT_EQ(index_.hashed(), before);
+}
+
+// What controllers agree on without talk must not depend on the order in which they heard of the fleet.
+TEST_F(PlacementIndexTest, TheOrderOfTellingDoesNotMatter) {
+    for (int i = 0; i < 200; ++i) add(1 + i % 3);
+    PlacementIndex other;
+    for (auto it = invokers_.rbegin(); it != invokers_.rend(); ++it) other.put(**it, hash_of((*it)->name), listed_[it->get()]);
+    for (std::uint64_t key = 1; key < 50; ++key) {
+        PlacementIndex::Homes here, there;
+        const auto& a = index_.find(mix(key), here, 20);
+        const auto& b = other.find(mix(key), there, 20);
+        for (std::size_t i = 0; i < 20; ++i) EXPECT_EQ(a[i].invoker, b[i].invoker);
+    }
+}
+
+}  // namespace
+}  // namespace plumkeel
--- a/tests/platform_signals_test.cpp
+++ b/tests/platform_signals_test.cpp
@@ -12,7 +12,7 @@
 #include <thread>
 
 #include "platform/platform.hpp"
-#include "tests/platform_bytes.hpp"
+#include "stand/platform_bytes.hpp"
 
 namespace plumkeel::platform {
 namespace {
--- a/tests/platform_world.hpp
+++ b/tests/platform_world.hpp
@@ -10,7 +10,7 @@
 #include "net/memory.hpp"
 #include "platform/host.hpp"
 #include "settings/fields.hpp"
-#include "tests/platform_bytes.hpp"
+#include "stand/platform_bytes.hpp"
 
 namespace plumkeel::platform {
 
