--- /dev/null
+++ b/scale/many_controllers.hpp
@@ -0,0 +1,25 @@
+// Many modules over one modelled fleet in virtual time: how little of the fleet each one sees as their number grows, and what
+// that costs the fleet, at the same calls a second altogether.
+#pragma once
+
+#include <vector>
+
+#include "scale/decisions.hpp"
+
+namespace plumkeel::scale {
+
+struct ManyControllersCase {
+    FleetShape fleet;
+    int controllers = 30;
+    std::size_t functions = 4000;
+    double exponent = 1.4;
+    double calls_per_s = 12'000;  // of all controllers together
+    Time length = std::chrono::seconds(30);
+    HostSettings host;
+    std::uint64_t seed = 1;
+};
+
+// An invoker is replaced after a third of the length, another dies after half; the list tells of the death a sixth later.
+std::vector<Measured> measure_many_controllers(const ManyControllersCase& of);
+
+}  // namespace plumkeel::scale
--- /dev/null
+++ b/scale/popularity.hpp
@@ -0,0 +1,33 @@
+// Which function a request calls: Zipf's law over a number of names, rank k with weight 1 / k^exponent.
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <vector>
+
+#include "chance/pcg.hpp"
+
+namespace plumkeel::scale {
+
+class Popularity {
+public:
+    Popularity(std::size_t names, double exponent) {
+        double sum = 0;
+        cumulative_.reserve(names);
+        for (std::size_t rank = 1; rank <= names; ++rank)
+            cumulative_.push_back(sum += std::pow(static_cast<double>(rank), -exponent));
+    }
+
+    // A rank from 0, the most popular, up to the number of names.
+    std::uint32_t sample(Pcg& random) const {
+        const double at = random.next() * cumulative_.back();
+        const auto found = std::upper_bound(cumulative_.begin(), cumulative_.end(), at);
+        return static_cast<std::uint32_t>(std::min(found, cumulative_.end() - 1) - cumulative_.begin());
+    }
+
+private:
+    std::vector<double> cumulative_;
+};
+
+}  // namespace plumkeel::scale
--- /dev/null
+++ b/scale/processor_time.hpp
@@ -0,0 +1,16 @@
+// Processor time of the calling thread: unlike the wall clock it does not run while others have the core.
+#pragma once
+
+#include <ctime>
+
+#include <chrono>
+
+namespace plumkeel::scale {
+
+inline std::chrono::nanoseconds processor_time() {
+    timespec now{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+    return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+}
+
+}  // namespace plumkeel::scale
