--- a/scale/decisions.cpp
+++ b/scale/decisions.cpp
@@ -21,7 +21,7 @@
 
 // What choosing cost, where the module counts it.
 struct ChoiceWork {
-    double choices{}, visited{}, weighed{}, hashed{};
+    double choices{}, visited{}, weighed{}, hashed{}, swept{};
 };
 
 template <class Module>
@@ -29,7 +29,7 @@
     if constexpr (requires { module.work(); }) {
         const auto& work = module.work();
         return {static_cast<double>(work.choices), static_cast<double>(work.visited), static_cast<double>(work.weighed),
-                static_cast<double>(work.hashed)};
+                static_cast<double>(work.hashed), static_cast<double>(work.swept)};
     } else {
         return {};
     }
@@ -149,6 +149,8 @@
             {"visited_a_choice", "count", (work.visited - work_before.visited) / choices},
             {"weighed_a_choice", "count", (work.weighed - work_before.weighed) / choices},
             {"hashed_a_choice", "count", (work.hashed - work_before.hashed) / choices},
+            {"hashed", "count", work.hashed - work_before.hashed},
+            {"swept_a_call", "count", (work.swept - work_before.swept) / std::max(1.0, calls)},
             {"choices_a_call", "count", choices / std::max(1.0, calls)},
             {"probes", "1/s", a_second(now.probes, before.probes)},
             {"attempts", "1/s", a_second(now.attempts, before.attempts)},
--- a/scale/platform_run.cpp
+++ b/scale/platform_run.cpp
@@ -99,7 +99,7 @@
         environment["EDGE_NAME"] = fmt::format("n{}", number);
         environment["EDGE_LISTEN"] = fmt::format("127.0.0.1:{}", first_port + number);
         environment["EDGE_CONFIG"] = config.string();
-        child_ = process::child(of.program, "platform", environment, process::std_err > log_.string(), process::std_out > process::null);
+        child_ = process::child(of.program, "platform", environment, process::std_err > log_.string(), process::std_out > process::null, process::limit_handles);
     }
     ~RealController() {
         if (child_.running()) child_.terminate();
@@ -321,7 +321,10 @@
         discovery_.vanish();
         co_await world_.sleep(outage);
         const auto connections_before = discovery_.connections();
-        if (discovery_.open()) co_return;
+        if (const net::Error error = discovery_.open()) {
+            fault_ = "discovery can't listen again: " + error.message();
+            co_return;
+        }
         const net::Time back = world_.now();
         const auto all = [&] { return discovery_.connections() - connections_before >= case_.processes + case_.watchers; };
         while (!all() && world_.now() - back < reconnect_limit) co_await world_.sleep(5ms);
