--- a/scale/allocation_count.hpp
+++ b/scale/allocation_count.hpp
@@ -1,5 +1,5 @@
-// Exact counts of heap memory by owner. Linking allocation_count.cpp replaces the global operator new and delete; what is
-// allocated while a ModuleScope exists belongs to the decision module, also when it is freed elsewhere.
+// Exact counts of heap memory by owner. Linking allocation_count.cpp replaces the global operator new and delete; what
+// is allocated while a ModuleScope exists belongs to the decision module, also when it is freed elsewhere.
 #pragma once
 
 #include <cstddef>
@@ -8,7 +8,7 @@
 namespace plumkeel::scale {
 
 struct AllocationCounts {
-    std::int64_t live_bytes{};   // asked for and not freed yet, without the allocator's own overhead
+    std::int64_t live_bytes{};    // asked for and not freed yet, without the allocator's own overhead
     std::uint64_t allocations{};  // since the program's start
 };
 
--- a/scale/chart.cpp
+++ b/scale/chart.cpp
@@ -16,19 +16,28 @@
     int red, green, blue;
 };
 enum Colour : int { paper, ink, first_line };
-constexpr std::array<Rgb, 10> colours = {{{255, 255, 255}, {30, 30, 30}, {31, 119, 180}, {255, 127, 14}, {44, 160, 44},
-                                          {214, 39, 40}, {148, 103, 189}, {140, 86, 75}, {188, 189, 34}, {23, 190, 207}}};
+constexpr std::array<Rgb, 10> colours = {{{255, 255, 255},
+                                          {30, 30, 30},
+                                          {31, 119, 180},
+                                          {255, 127, 14},
+                                          {44, 160, 44},
+                                          {214, 39, 40},
+                                          {148, 103, 189},
+                                          {140, 86, 75},
+                                          {188, 189, 34},
+                                          {23, 190, 207}}};
 constexpr int line_colours = static_cast<int>(colours.size()) - first_line;
 constexpr int page_width = 900, page_height = 560;
 
 using Values = std::map<double, std::vector<double>>;  // by size
 
-std::map<std::string, Values> collect(const std::vector<Labelled>& sets, const std::string& experiment, const std::string& size_name,
-                                      const std::string& metric, std::string& unit) {
+std::map<std::string, Values> collect(const std::vector<Labelled>& sets, const std::string& experiment,
+                                      const std::string& size_name, const std::string& metric, std::string& unit) {
     std::map<std::string, Values> out;
     for (const Labelled& set : sets)
         for (const Row& row : set.rows) {
-            if (row.experiment != experiment || row.size_name != size_name || row.metric != metric || row.value <= 0) continue;
+            if (row.experiment != experiment || row.size_name != size_name || row.metric != metric || row.value <= 0)
+                continue;
             unit = row.unit;
             out[set.label.empty() ? row.series : set.label + ": " + row.series][row.size].push_back(row.value);
         }
@@ -57,8 +66,8 @@
 
 }  // namespace
 
-bool draw_metric(const std::vector<Labelled>& sets, const std::string& experiment, const std::string& size_name, const std::string& metric,
-                 const std::string& file) {
+bool draw_metric(const std::vector<Labelled>& sets, const std::string& experiment, const std::string& size_name,
+                 const std::string& metric, const std::string& file) {
     std::string unit;
     const auto lines = collect(sets, experiment, size_name, metric, unit);
     if (lines.empty()) return false;
@@ -75,7 +84,8 @@
     plsfnam(file.c_str());
     plspage(0, 0, page_width, page_height, 0, 0);
     plscmap0n(static_cast<PLINT>(colours.size()));
-    for (std::size_t i = 0; i < colours.size(); ++i) plscol0(static_cast<PLINT>(i), colours[i].red, colours[i].green, colours[i].blue);
+    for (std::size_t i = 0; i < colours.size(); ++i)
+        plscol0(static_cast<PLINT>(i), colours[i].red, colours[i].green, colours[i].blue);
     plinit();
     pladv(0);
     plschr(0, 0.6);
--- a/scale/chart.hpp
+++ b/scale/chart.hpp
@@ -1,4 +1,5 @@
-// One metric over size as a picture (SVG), a line of medians for each series and a mark for each run. Draws with PLplot.
+// One metric over size as a picture (SVG), a line of medians for each series and a mark for each run. Draws with
+// PLplot.
 #pragma once
 
 #include <string>
@@ -14,8 +15,9 @@
     std::vector<Row> rows;
 };
 
-// Both axes logarithmic. Draws nothing and returns false where no row above 0 fits. Throws ResultsFault where the file can't be written.
-bool draw_metric(const std::vector<Labelled>& sets, const std::string& experiment, const std::string& size_name, const std::string& metric,
-                 const std::string& file);
+// Both axes logarithmic. Draws nothing and returns false where no row above 0 fits. Throws ResultsFault where the file
+// can't be written.
+bool draw_metric(const std::vector<Labelled>& sets, const std::string& experiment, const std::string& size_name,
+                 const std::string& metric, const std::string& file);
 
 }  // namespace plumkeel::scale
--- a/scale/controller_host.cpp
+++ b/scale/controller_host.cpp
@@ -37,7 +37,8 @@
 
 }  // namespace
 
-ControllerHost::ControllerHost(EventQueue& events, ModelledFleet& fleet, const HostSettings& settings, std::uint64_t seed)
+ControllerHost::ControllerHost(EventQueue& events, ModelledFleet& fleet, const HostSettings& settings,
+                               std::uint64_t seed)
     : events_(events), fleet_(fleet), settings_(settings) {
     use_case_.promised = settings.latency_target;
     const ModuleScope module;
@@ -116,7 +117,8 @@
     feed(Turn::call, [&](Controller& it, Time now) { return it.take(now, *job); });
 }
 
-void ControllerHost::set_invoker(std::size_t number, bool listed, bool ready, std::optional<Time> started, double units) {
+void ControllerHost::set_invoker(std::size_t number, bool listed, bool ready, std::optional<Time> started,
+                                 double units) {
     HostedInvoker& invoker = at(number);
     listed_[number] = listed;
     invoker.ready = ready && listed;
@@ -135,7 +137,8 @@
     std::vector<Invoker*> changed, gone;
     for (const std::size_t number : numbers) (listed_[number] ? changed : gone).push_back(&at(number));
     if (!gone.empty()) feed(Turn::list, [&](Controller& it, Time now) { return it.fleet_left(now, gone); });
-    if (!changed.empty()) feed(Turn::list, [&](Controller& it, Time now) { return it.fleet_changed(now, changed, false); });
+    if (!changed.empty())
+        feed(Turn::list, [&](Controller& it, Time now) { return it.fleet_changed(now, changed, false); });
 }
 
 // ---------------------------------------------------------------- carrying out
@@ -144,7 +147,9 @@
     for (Hop* hop : results.called_off) {
         const std::uint64_t job = hop->job->id;
         const int attempt = hop->number;
-        events_.at(events_.now(), [this, job, attempt] { end_attempt(job, attempt, {{}, Ending::called_off, Note::none, 0}); });
+        events_.at(events_.now(), [this, job, attempt] {
+            end_attempt(job, attempt, {{}, Ending::called_off, Note::none, 0});
+        });
     }
     for (Hop* hop : results.started) start(*hop);
     for (Invoker* invoker : results.probed) probe(static_cast<HostedInvoker&>(*invoker));
@@ -180,11 +185,11 @@
     ++counts_.attempts_to[invoker.number];
     use_connection(invoker);
     const Reply reply = fleet_.attempt(events_.now(), invoker.number, job.number, hop.limit);
-    events_.at(events_.now() + reply.after + round_trip, [this, id = job.id, attempt = hop.number, function = job.number,
-                                                         number = invoker.number, reply] {
-        if (reply.ending == Ending::honoured) fleet_.finished(events_.now(), number, function);
-        end_attempt(id, attempt, reply);
-    });
+    events_.at(events_.now() + reply.after + round_trip,
+               [this, id = job.id, attempt = hop.number, function = job.number, number = invoker.number, reply] {
+                   if (reply.ending == Ending::honoured) fleet_.finished(events_.now(), number, function);
+                   end_attempt(id, attempt, reply);
+               });
 }
 
 void ControllerHost::end_attempt(std::uint64_t id, int attempt, const Reply& reply) {
@@ -197,8 +202,11 @@
     counts_.overdue += reply.ending == Ending::overdue;
     counts_.cold_starts += reply.ending == Ending::honoured && reply.note == Note::began_load;
     const bool open = !job.answered();
-    const Report report = reply.ending == Ending::honoured ? fleet_.report(static_cast<HostedInvoker&>(*hop.invoker).number) : Report{};
-    feed(Turn::attempt_end, [&](Controller& it, Time now) { return it.hop_ended(now, hop, reply.ending, reply.note, reply.company, report); });
+    const Report report =
+        reply.ending == Ending::honoured ? fleet_.report(static_cast<HostedInvoker&>(*hop.invoker).number) : Report{};
+    feed(Turn::attempt_end, [&](Controller& it, Time now) {
+        return it.hop_ended(now, hop, reply.ending, reply.note, reply.company, report);
+    });
     if (const auto still = jobs_.find(id); still != jobs_.end() && open && still->second->state == JobState::honoured) {
         const Time took = events_.now() - job.taken;
         ++counts_.served;
@@ -221,7 +229,8 @@
     events_.at(events_.now() + (answered ? round_trip : probe_limit), [this, number = invoker.number, answered] {
         if (!invokers_[number]) return;
         const Report report = answered ? fleet_.report(number) : Report{};
-        feed(Turn::probe_end, [&](Controller& it, Time now) { return it.probe_answered(now, *invokers_[number], answered, report); });
+        feed(Turn::probe_end,
+             [&](Controller& it, Time now) { return it.probe_answered(now, *invokers_[number], answered, report); });
     });
 }
 
--- a/scale/controller_host.hpp
+++ b/scale/controller_host.hpp
@@ -1,5 +1,6 @@
-// Hosts one decision module, unchanged, over a modelled fleet in virtual time: it carries out what the module decides, tells
-// it what came of that, and counts. The counts are exact; processor times are those of the calls into the module alone.
+// Hosts one decision module, unchanged, over a modelled fleet in virtual time: it carries out what the module decides,
+// tells it what came of that, and counts. The counts are exact; processor times are those of the calls into the module
+// alone.
 #pragma once
 
 #include <array>
--- a/scale/decisions.cpp
+++ b/scale/decisions.cpp
@@ -38,7 +38,11 @@
 class DecisionRun {
 public:
     explicit DecisionRun(const DecisionCase& of)
-        : case_(of), fleet_(of.fleet), host_(events_, fleet_, of.host, of.seed), popularity_(of.functions, of.exponent), random_(of.seed) {}
+        : case_(of),
+          fleet_(of.fleet),
+          host_(events_, fleet_, of.host, of.seed),
+          popularity_(of.functions, of.exponent),
+          random_(of.seed) {}
 
     std::vector<Measured> play() {
         host_.tell_whole_list();
@@ -71,7 +75,8 @@
                 break;
             case Disturbance::restarts:
                 for (std::size_t i = 0; i < case_.fleet.invokers; ++i)
-                    events_.at(case_.length * static_cast<long>(i) / static_cast<long>(case_.fleet.invokers), [this, i] { restart(i); });
+                    events_.at(case_.length * static_cast<long>(i) / static_cast<long>(case_.fleet.invokers),
+                               [this, i] { restart(i); });
                 break;
             case Disturbance::zone_outage:
                 events_.at(case_.length / 3, [this] { zone(false); });
@@ -108,7 +113,8 @@
     // All invokers drain for a second, in which the calls come.
     void park_many() {
         set_all_ready(false);
-        for (std::size_t i = 0; i < parked_at_once; ++i) host_.call(static_cast<ControllerHost::FunctionNumber>(case_.functions + i));
+        for (std::size_t i = 0; i < parked_at_once; ++i)
+            host_.call(static_cast<ControllerHost::FunctionNumber>(case_.functions + i));
         parked_ = host_.parked();
         events_.at(events_.now() + 1s, [this] { set_all_ready(true); });
     }
@@ -128,13 +134,16 @@
         host_.tell_changed(changed);
     }
 
-    std::vector<Measured> figures(const HostCounts& before, const ChoiceWork& work_before, std::uint64_t allocated_before, double span) const {
+    std::vector<Measured> figures(const HostCounts& before, const ChoiceWork& work_before,
+                                  std::uint64_t allocated_before, double span) const {
         const HostCounts& now = host_.counts();
         const double calls = static_cast<double>(now.calls - before.calls);
         const ChoiceWork work = choice_work(host_.controller());
         const double choices = std::max(1.0, work.choices - work_before.choices);
         const auto microseconds = [](std::chrono::nanoseconds t) { return seconds(t) * 1e6; };
-        const auto a_second = [&](std::uint64_t after, std::uint64_t earlier) { return static_cast<double>(after - earlier) / span; };
+        const auto a_second = [&](std::uint64_t after, std::uint64_t earlier) {
+            return static_cast<double>(after - earlier) / span;
+        };
         std::vector<Measured> out = {
             {"processor_share", "%", 100 * seconds(now.processor) / span},
             {"processor_a_call", "us", microseconds(now.processor) / std::max(1.0, calls)},
@@ -144,7 +153,8 @@
             {"worst_timer", "us", microseconds(host_.worst_of(Turn::timer))},
             {"worst_list", "us", microseconds(host_.worst_of(Turn::list))},
             {"module_memory", "bytes", static_cast<double>(module_allocations().live_bytes)},
-            {"allocations_a_call", "count", static_cast<double>(module_allocations().allocations - allocated_before) / std::max(1.0, calls)},
+            {"allocations_a_call", "count",
+             static_cast<double>(module_allocations().allocations - allocated_before) / std::max(1.0, calls)},
             {"functions_held", "count", static_cast<double>(host_.functions_held())},
             {"visited_a_choice", "count", (work.visited - work_before.visited) / choices},
             {"weighed_a_choice", "count", (work.weighed - work_before.weighed) / choices},
@@ -167,7 +177,8 @@
         out.push_back({"probes_an_invoker", "1/s", a_second(now.probes, before.probes) * all});
         out.push_back({"handshakes_an_invoker", "1/s", a_second(now.new_connections, before.new_connections) * all});
         out.push_back({"connections_an_invoker", "count", static_cast<double>(host_.open_connections()) * all});
-        if (case_.disturbance == Disturbance::parked_functions) out.push_back({"parked", "count", static_cast<double>(parked_)});
+        if (case_.disturbance == Disturbance::parked_functions)
+            out.push_back({"parked", "count", static_cast<double>(parked_)});
         return out;
     }
 
--- a/scale/decisions.hpp
+++ b/scale/decisions.hpp
@@ -1,5 +1,5 @@
-// The decisions alone: one controller's module in virtual time, at the calls a second that one controller gets, over fleets and
-// numbers of functions of growing size.
+// The decisions alone: one controller's module in virtual time, at the calls a second that one controller gets, over
+// fleets and numbers of functions of growing size.
 #pragma once
 
 #include <functional>
--- a/scale/hollow_peers.cpp
+++ b/scale/hollow_peers.cpp
@@ -26,7 +26,8 @@
 
 // ---------------------------------------------------------------- discovery
 
-HollowDiscovery::HollowDiscovery(net::World& world, net::Address address) : world_(world), address_(std::move(address)) {}
+HollowDiscovery::HollowDiscovery(net::World& world, net::Address address)
+    : world_(world), address_(std::move(address)) {}
 
 net::Error HollowDiscovery::open() {
     auto [error, listener] = world_.listen(address_);
@@ -61,7 +62,8 @@
         asked.append(room.data(), moved.bytes);
     }
     const auto outbox = std::make_shared<net::Outbox>(world_, stream);
-    for (auto it = changes_.upper_bound(number_at(asked, 0, frame_number)); it != changes_.end(); ++it) send(*outbox, it->second);
+    for (auto it = changes_.upper_bound(number_at(asked, 0, frame_number)); it != changes_.end(); ++it)
+        send(*outbox, it->second);
     const std::uint64_t id = ++accepted_;
     open_[id] = {stream, outbox};
     while (!(co_await stream->read(net::asio::buffer(room))).error) {
@@ -93,7 +95,8 @@
 
 // ---------------------------------------------------------------- watchers
 
-HollowWatcher::HollowWatcher(net::World& world, net::Address discovery, std::uint64_t seed, std::function<void(std::uint64_t)> told)
+HollowWatcher::HollowWatcher(net::World& world, net::Address discovery, std::uint64_t seed,
+                             std::function<void(std::uint64_t)> told)
     : world_(world), discovery_(std::move(discovery)), told_(std::move(told)), seed_(seed) {
     world_.spawn(run());
 }
@@ -125,14 +128,16 @@
         }
         connected_ = false;
         if (stream) stream->close();
-        const double pause = std::min(longest_pause_s, first_pause_s * (1 << std::min(lost, 6))) * (0.5 + random.next());
+        const double pause =
+            std::min(longest_pause_s, first_pause_s * (1 << std::min(lost, 6))) * (0.5 + random.next());
         co_await world_.sleep(net::Time(static_cast<net::Time::rep>(pause * 1e6)));
     }
 }
 
 // ---------------------------------------------------------------- invokers
 
-HollowInvokers::HollowInvokers(net::World& world, std::uint16_t port, net::Time run) : world_(world), port_(port), run_(run) {}
+HollowInvokers::HollowInvokers(net::World& world, std::uint16_t port, net::Time run)
+    : world_(world), port_(port), run_(run) {}
 
 net::Error HollowInvokers::open() {
     auto [error, listener] = world_.listen({"0.0.0.0", port_});
@@ -196,7 +201,8 @@
 
 // ---------------------------------------------------------------- client
 
-HollowClient::HollowClient(net::World& world, net::Address controller) : world_(world), controller_(std::move(controller)) {}
+HollowClient::HollowClient(net::World& world, net::Address controller)
+    : world_(world), controller_(std::move(controller)) {}
 
 net::Task<bool> HollowClient::healthy() {
     auto [error, stream] = co_await world_.connect(controller_, connect_limit);
@@ -213,7 +219,8 @@
     for (std::size_t i = 0; i < connections; ++i) {
         auto [error, stream] = co_await world_.connect(controller_, connect_limit);
         if (error) continue;
-        const auto connection = std::make_shared<Connection>(Connection{stream, std::make_shared<net::Outbox>(world_, stream), {}});
+        const auto connection =
+            std::make_shared<Connection>(Connection{stream, std::make_shared<net::Outbox>(world_, stream), {}});
         connections_.push_back(connection);
         world_.spawn(listen(connection));
     }
@@ -227,7 +234,8 @@
     int number = 1;
     while (emptiest->sent.count(number)) ++number;
     emptiest->sent[number] = world_.now();
-    emptiest->outbox->send(bytes::message(number, bytes::job_fields(bytes::hex16(++sent_ << 8 | 1), function, 3000), "ask"));
+    emptiest->outbox->send(
+        bytes::message(number, bytes::job_fields(bytes::hex16(++sent_ << 8 | 1), function, 3000), "ask"));
 }
 
 void HollowClient::close() {
--- a/scale/hollow_peers.hpp
+++ b/scale/hollow_peers.hpp
@@ -1,5 +1,5 @@
-// Peers of the real program without insides, thousands in one process: a discovery service, watchers of it, invokers, and a
-// client. They speak the platform's protocols and count bytes; nothing is decided here.
+// Peers of the real program without insides, thousands in one process: a discovery service, watchers of it, invokers,
+// and a client. They speak the platform's protocols and count bytes; nothing is decided here.
 #pragma once
 
 #include <cstdint>
@@ -46,7 +46,8 @@
 class HollowWatcher {
 public:
     // `told` is called with each change's number.
-    HollowWatcher(net::World& world, net::Address discovery, std::uint64_t seed, std::function<void(std::uint64_t)> told);
+    HollowWatcher(net::World& world, net::Address discovery, std::uint64_t seed,
+                  std::function<void(std::uint64_t)> told);
     bool connected() const { return connected_; }
 
 private:
--- a/scale/main.cpp
+++ b/scale/main.cpp
@@ -25,15 +25,18 @@
 }
 
 template <class Case, class Measure>
-void play(const std::string& experiment, const std::vector<Series<Case>>& all, Measure measure, std::vector<Row>& rows) {
+void play(const std::string& experiment, const std::vector<Series<Case>>& all, Measure measure,
+          std::vector<Row>& rows) {
     for (const Series<Case>& series : all)
         for (const std::size_t size : series.sizes)
             for (int run = 0; run < series.runs; ++run) {
-                std::cerr << fmt::format("{} '{}': {} {}, run {} of {}\n", experiment, series.name, size, series.size_name, run + 1, series.runs);
+                std::cerr << fmt::format("{} '{}': {} {}, run {} of {}\n", experiment, series.name, size,
+                                         series.size_name, run + 1, series.runs);
                 Case of = sized(series, size);
                 of.seed = static_cast<std::uint64_t>(run) + 1;
                 for (const Measured& each : measure(of))
-                    rows.push_back({experiment, series.name, series.size_name, static_cast<double>(size), run, each.metric, each.unit, each.value});
+                    rows.push_back({experiment, series.name, series.size_name, static_cast<double>(size), run,
+                                    each.metric, each.unit, each.value});
             }
 }
 
@@ -41,7 +44,8 @@
 void check_fit(const std::string& experiment, const std::vector<Series<Case>>& all) {
     for (const Series<Case>& series : all)
         for (const std::size_t size : series.sizes)
-            refuse_what_does_not_fit(fmt::format("{} '{}' at {} {}", experiment, series.name, size, series.size_name), need_of(sized(series, size)));
+            refuse_what_does_not_fit(fmt::format("{} '{}' at {} {}", experiment, series.name, size, series.size_name),
+                                     need_of(sized(series, size)));
 }
 
 void run(const std::string& plan_file, const std::string& program, const std::string& commit, const std::string& out) {
@@ -63,7 +67,8 @@
     for (const Labelled& set : sets)
         for (const Row& row : set.rows) metrics.insert({row.experiment, row.size_name, row.metric});
     std::filesystem::create_directories(folder);
-    for (const auto& it : metrics) draw_metric(sets, it[0], it[1], it[2], fmt::format("{}/{}-{}-{}.svg", folder, it[0], it[1], it[2]));
+    for (const auto& it : metrics)
+        draw_metric(sets, it[0], it[1], it[2], fmt::format("{}/{}-{}-{}.svg", folder, it[0], it[1], it[2]));
 }
 
 // A file's rows bear the name that stands before the '=', as in before=old.csv.
@@ -73,7 +78,8 @@
     for (const std::string& argument : files) {
         const auto equals = argument.find('=');
         const std::string label = equals == std::string::npos ? "" : argument.substr(0, equals);
-        Labelled& set = sets.emplace_back(Labelled{label, read_results(argument.substr(equals == std::string::npos ? 0 : equals + 1)).rows});
+        Labelled& set = sets.emplace_back(
+            Labelled{label, read_results(argument.substr(equals == std::string::npos ? 0 : equals + 1)).rows});
         for (Row row : set.rows) {
             if (!label.empty()) row.series = label + ": " + row.series;
             all.push_back(std::move(row));
@@ -97,7 +103,8 @@
     run_command->add_option("--program", program, "the plumkeel binary to measure")->capture_default_str();
     run_command->add_option("--commit", commit, "of the program measured, for the record")->capture_default_str();
     CLI::App* const report_command = app.add_subcommand("report", "slopes and charts of results");
-    report_command->add_option("results", files, "results, each with an optional label before it: before=old.csv")->required();
+    report_command->add_option("results", files, "results, each with an optional label before it: before=old.csv")
+        ->required();
     report_command->add_option("--slopes", slopes, "CSV file to write")->capture_default_str();
     report_command->add_option("--charts", charts, "folder for charts (SVG); none where left out");
     CLI11_PARSE(app, argc, argv);
--- a/scale/many_controllers.cpp
+++ b/scale/many_controllers.cpp
@@ -17,7 +17,8 @@
         HostSettings settings = of.host;
         settings.controllers = of.controllers;
         for (int i = 0; i < of.controllers; ++i)
-            hosts_.push_back(std::make_unique<ControllerHost>(events_, fleet_, settings, of.seed * 1'000'003 + static_cast<std::uint64_t>(i)));
+            hosts_.push_back(std::make_unique<ControllerHost>(events_, fleet_, settings,
+                                                              of.seed * 1'000'003 + static_cast<std::uint64_t>(i)));
         calls_of_.resize(of.functions);
     }
 
@@ -99,14 +100,18 @@
     std::vector<Measured> figures(const HostCounts& at_third, std::uint64_t sent_to_dead) const {
         const HostCounts all = sum();
         const double span = std::chrono::duration<double>(case_.length).count();
-        const double invokers = static_cast<double>(case_.fleet.invokers), controllers = static_cast<double>(case_.controllers);
+        const double invokers = static_cast<double>(case_.fleet.invokers),
+                     controllers = static_cast<double>(case_.controllers);
         const double calls = std::max(1.0, static_cast<double>(all.calls));
         double others = 0;
-        for (std::size_t i = 2; i < all.attempts_to.size(); ++i) others += static_cast<double>(all.attempts_to[i] - at_third.attempts_to[i]);
+        for (std::size_t i = 2; i < all.attempts_to.size(); ++i)
+            others += static_cast<double>(all.attempts_to[i] - at_third.attempts_to[i]);
         const double mean_of_others = others / (invokers - 2);
-        const double replaced = static_cast<double>(all.attempts_to[replaced_invoker] - at_third.attempts_to[replaced_invoker]);
+        const double replaced =
+            static_cast<double>(all.attempts_to[replaced_invoker] - at_third.attempts_to[replaced_invoker]);
         return {
-            {"samples_an_invoker_a_minute", "count", static_cast<double>(all.attempts + all.probes) / invokers / controllers / span * 60},
+            {"samples_an_invoker_a_minute", "count",
+             static_cast<double>(all.attempts + all.probes) / invokers / controllers / span * 60},
             {"attempts_to_dead", "count", static_cast<double>(sent_to_dead)},
             {"instances_of_a_rare_function", "count", instances_of_rare()},
             {"cold_starts", "1/s", static_cast<double>(all.cold_starts) / span},
--- a/scale/many_controllers.hpp
+++ b/scale/many_controllers.hpp
@@ -1,5 +1,5 @@
-// Many modules over one modelled fleet in virtual time: how little of the fleet each one sees as their number grows, and what
-// that costs the fleet, at the same calls a second altogether.
+// Many modules over one modelled fleet in virtual time: how little of the fleet each one sees as their number grows,
+// and what that costs the fleet, at the same calls a second altogether.
 #pragma once
 
 #include <vector>
@@ -19,7 +19,8 @@
     std::uint64_t seed = 1;
 };
 
-// An invoker is replaced after a third of the length, another dies after half; the list tells of the death a sixth later.
+// An invoker is replaced after a third of the length, another dies after half; the list tells of the death a sixth
+// later.
 std::vector<Measured> measure_many_controllers(const ManyControllersCase& of);
 
 }  // namespace plumkeel::scale
--- a/scale/modelled_fleet.hpp
+++ b/scale/modelled_fleet.hpp
@@ -1,6 +1,7 @@
-// A fleet of invokers as a model: what each holds loaded, what runs there, and how it answers an attempt. It knows nothing of
-// the controllers' beliefs. Assumptions: an instance serves one request at a time; an idle instance gives way to a new one,
-// the least recently used first; a run slows down in step once more run than there are cores; a dead invoker is silent.
+// A fleet of invokers as a model: what each holds loaded, what runs there, and how it answers an attempt. It knows
+// nothing of the controllers' beliefs. Assumptions: an instance serves one request at a time; an idle instance gives
+// way to a new one, the least recently used first; a run slows down in step once more run than there are cores; a dead
+// invoker is silent.
 #pragma once
 
 #include <cstdint>
--- a/scale/plan.cpp
+++ b/scale/plan.cpp
@@ -13,14 +13,16 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t most_invokers = 100'000, most_functions = 2'000'000, most_controllers = 20'000, most_watchers = 20'000;
+constexpr std::size_t most_invokers = 100'000, most_functions = 2'000'000, most_controllers = 20'000,
+                      most_watchers = 20'000;
 constexpr std::size_t most_processes = 200;
 constexpr int most_runs = 20;
 constexpr Time longest_run = 20min;
 constexpr double most_calls_per_s = 1e6;
 
 // Measured of the module and this package's hosts, rounded up.
-constexpr std::size_t bytes_an_invoker = 3000, bytes_an_instance = 32, bytes_a_function = 1500, bytes_a_rank = 8, bytes_at_all = 64 << 20;
+constexpr std::size_t bytes_an_invoker = 3000, bytes_an_instance = 32, bytes_a_function = 1500, bytes_a_rank = 8,
+                      bytes_at_all = 64 << 20;
 constexpr std::size_t bytes_a_process = 64 << 20, bytes_an_invoker_of_a_process = 8000, bytes_a_watcher = 32 << 10;
 constexpr std::size_t descriptors_a_process = 600, descriptors_at_all = 128;
 
@@ -62,7 +64,8 @@
     for (const auto& each : sizes->as_array()) {
         if (!each.is_number()) in.complain("sizes", "is no list of numbers");
         const double size = each.to_number<double>();
-        if (!(size >= 1) || size > static_cast<double>(most)) in.complain("sizes", fmt::format("holds one not between 1 and {}", most));
+        if (!(size >= 1) || size > static_cast<double>(most))
+            in.complain("sizes", fmt::format("holds one not between 1 and {}", most));
         out.sizes.push_back(static_cast<std::size_t>(size));
     }
     return out;
@@ -162,14 +165,17 @@
     const std::size_t invoker = bytes_an_invoker + of.fleet.instances * bytes_an_instance;
     const auto met = static_cast<std::size_t>(of.calls_per_s * std::chrono::duration<double>(of.length).count());
     const std::size_t functions = of.disturbance == Disturbance::new_names ? met : std::min(of.functions, met);
-    return {bytes_at_all + of.fleet.invokers * invoker + functions * bytes_a_function + of.functions * bytes_a_rank, 1, descriptors_at_all};
+    return {bytes_at_all + of.fleet.invokers * invoker + functions * bytes_a_function + of.functions * bytes_a_rank, 1,
+            descriptors_at_all};
 }
 
 Need need_of(const ManyControllersCase& of) {
     const auto controllers = static_cast<std::size_t>(of.controllers);
-    const auto met = static_cast<std::size_t>(of.calls_per_s * std::chrono::duration<double>(of.length).count()) / controllers;
+    const auto met =
+        static_cast<std::size_t>(of.calls_per_s * std::chrono::duration<double>(of.length).count()) / controllers;
     const std::size_t one = of.fleet.invokers * bytes_an_invoker + std::min(of.functions, met) * bytes_a_function;
-    return {bytes_at_all + controllers * one + of.fleet.invokers * of.fleet.instances * bytes_an_instance, 1, descriptors_at_all};
+    return {bytes_at_all + controllers * one + of.fleet.invokers * of.fleet.instances * bytes_an_instance, 1,
+            descriptors_at_all};
 }
 
 Need need_of(const PlatformCase& of) {
@@ -184,11 +190,14 @@
     getrlimit(RLIMIT_NOFILE, &files);
     const auto mebibytes = [](std::size_t bytes) { return bytes >> 20; };
     if (need.memory_bytes > memory)
-        throw CharterFault(fmt::format("{}: would need {} MiB of memory; half of this machine's is {} MiB", what, mebibytes(need.memory_bytes), mebibytes(memory)));
+        throw CharterFault(fmt::format("{}: would need {} MiB of memory; half of this machine's is {} MiB", what,
+                                       mebibytes(need.memory_bytes), mebibytes(memory)));
     if (need.processes > most_processes + 1)
-        throw CharterFault(fmt::format("{}: would need {} processes; {} may run", what, need.processes, most_processes + 1));
+        throw CharterFault(
+            fmt::format("{}: would need {} processes; {} may run", what, need.processes, most_processes + 1));
     if (need.descriptors > files.rlim_max)
-        throw CharterFault(fmt::format("{}: would need {} descriptors; the limit is {}", what, need.descriptors, files.rlim_max));
+        throw CharterFault(
+            fmt::format("{}: would need {} descriptors; the limit is {}", what, need.descriptors, files.rlim_max));
 }
 
 }  // namespace plumkeel::scale
--- a/scale/plan.hpp
+++ b/scale/plan.hpp
@@ -20,9 +20,9 @@
 };
 
 struct Plan {
-    std::vector<Series<DecisionCase>> decisions;         // over "invokers" or "functions"
+    std::vector<Series<DecisionCase>> decisions;           // over "invokers" or "functions"
     std::vector<Series<ManyControllersCase>> controllers;  // over "controllers" or "invokers"
-    std::vector<Series<PlatformCase>> platform;          // over "invokers" or "watchers"
+    std::vector<Series<PlatformCase>> platform;            // over "invokers" or "watchers"
 };
 
 // Throws CharterFault, naming file and field.
--- a/scale/plans/platform.jsonnet
+++ b/scale/plans/platform.jsonnet
@@ -1,7 +1,7 @@
 // The real program beside hollow peers: one process over growing fleets, then watchers of discovery by the thousand.
 {
   platform: [
-    { name: 'one process', over: 'invokers', sizes: [100, 720, 7200, 18000], runs: 2, idle: '8s', busy: '12s', changes: 100 },
-    { name: '720 invokers; two processes', over: 'watchers', sizes: [500, 2000, 7100], invokers: 720, processes: 2, runs: 2, idle: '4s', busy: '3s', changes: 20 },
+    { name: 'one process', over: 'invokers', sizes: [720, 7200, 18000], runs: 2, idle: '5s', busy: '8s', changes: 100 },
+    { name: '720 invokers; two processes', over: 'watchers', sizes: [500, 2000, 7100], invokers: 720, processes: 2, idle: '4s', busy: '3s', changes: 20 },
   ],
 }
--- a/scale/platform_run.cpp
+++ b/scale/platform_run.cpp
@@ -23,7 +23,8 @@
 
 constexpr std::uint16_t first_port = 17100, discovery_port = 17001, invoker_port = 17002;
 constexpr std::size_t client_connections = 4, descriptors_of_a_process = 600, memory_of_a_process_mb = 2048;
-constexpr net::Time ready_limit = 30s, ready_poll = 10ms, settle = 3s, outage = 3s, reconnect_limit = 30s, end_limit = 12s;
+constexpr net::Time ready_limit = 30s, ready_poll = 10ms, settle = 3s, outage = 3s, reconnect_limit = 30s,
+                    end_limit = 12s;
 constexpr net::Time invoker_run = 200ms;
 constexpr double units_per_invoker = 5;
 
@@ -42,31 +43,61 @@
             {"discovery", "automatic"},
             {"weight_source", "nominal"},
             {"quantum", 1.0},
-            {"classes", {{{"name", "preview"}, {"aim", 1800.0}, {"deadline", 5000.0}, {"semantics", "retryable"}, {"group", "all"}, {"repeat_window", 5000.0}}}},
+            {"classes",
+             {{{"name", "preview"},
+               {"aim", 1800.0},
+               {"deadline", 5000.0},
+               {"semantics", "retryable"},
+               {"group", "all"},
+               {"repeat_window", 5000.0}}}},
             {"realms", {{{"name", "acme"}, {"quota_per_s", 1e6}}}},
             {"report", {{"fields", {"active", "waiting"}}, {"how", "pull"}}},
-            {"rules", {{"cold", 20000.0}, {"cold_share", 0.25}, {"fall_multiple", 2.0}, {"overload_for", 1000.0}, {"stop_sending_within", 2000.0}}},
-            {"family_info", {{"if_cold", "load"}, {"linger_idle", 60000.0}, {"may_order", false}, {"says_company", true}, {"answer_within", 4000.0}}},
+            {"rules",
+             {{"cold", 20000.0},
+              {"cold_share", 0.25},
+              {"fall_multiple", 2.0},
+              {"overload_for", 1000.0},
+              {"stop_sending_within", 2000.0}}},
+            {"family_info",
+             {{"if_cold", "load"},
+              {"linger_idle", 60000.0},
+              {"may_order", false},
+              {"says_company", true},
+              {"answer_within", 4000.0}}},
             {"limits",
-             {{"may_cancel", true}, {"probes", true}, {"second_copies", true}, {"retry_after", true}, {"send_cap", 5}, {"max_retry_after", 2000.0},
-              {"connect_timeout", 250.0}, {"conn_idle", 30000.0}, {"streams_per_conn", 32}}},
+             {{"may_cancel", true},
+              {"probes", true},
+              {"second_copies", true},
+              {"retry_after", true},
+              {"send_cap", 5},
+              {"max_retry_after", 2000.0},
+              {"connect_timeout", 250.0},
+              {"conn_idle", 30000.0},
+              {"streams_per_conn", 32}}},
             {"charges", {{"probe", 0.0}}}};
 }
 
 std::string configuration(const PlatformCase& of, std::size_t number) {
     json::array targets;
     for (std::size_t i = 0; i < of.invokers; ++i)
-        targets.push_back({{"uid", fmt::format("s-{:08x}", i)}, {"endpoint", fmt::format("{}:{}", invoker_host(i), invoker_port)},
-                           {"az", fmt::format("z{}", i % 27)}, {"model", "k"}, {"pod_group", i}, {"state", "up"},
-                           {"capacity_hint", units_per_invoker}, {"boot_ms", 0}});
-    const json::object known{{"rev", 1}, {"notices", {{{"rev", 1}, {"pool", {{"rev", 1}, {"all", true}, {"targets", targets}}}}}}};
-    return json::serialize(json::object{{"name", fmt::format("n{}", number)},
-                                        {"listen", fmt::format("127.0.0.1:{}", first_port + number)},
-                                        {"seed", fmt::format("{:016x}", of.seed * 1000 + number)},
-                                        {"board", fmt::format("127.0.0.1:{}", discovery_port)},
-                                        {"limits", {{"cores", 1.0}, {"memory_mb", memory_of_a_process_mb}, {"sockets", descriptors_of_a_process}}},
-                                        {"known", known},
-                                        {"settings", settings()}});
+        targets.push_back({{"uid", fmt::format("s-{:08x}", i)},
+                           {"endpoint", fmt::format("{}:{}", invoker_host(i), invoker_port)},
+                           {"az", fmt::format("z{}", i % 27)},
+                           {"model", "k"},
+                           {"pod_group", i},
+                           {"state", "up"},
+                           {"capacity_hint", units_per_invoker},
+                           {"boot_ms", 0}});
+    const json::object known{{"rev", 1},
+                             {"notices", {{{"rev", 1}, {"pool", {{"rev", 1}, {"all", true}, {"targets", targets}}}}}}};
+    return json::serialize(json::object{
+        {"name", fmt::format("n{}", number)},
+        {"listen", fmt::format("127.0.0.1:{}", first_port + number)},
+        {"seed", fmt::format("{:016x}", of.seed * 1000 + number)},
+        {"board", fmt::format("127.0.0.1:{}", discovery_port)},
+        {"limits", {{"cores", 1.0}, {"memory_mb", memory_of_a_process_mb}, {"sockets", descriptors_of_a_process}}},
+        {"known", known},
+        {"settings", settings()}});
 }
 
 struct ProcessUse {
@@ -99,7 +130,8 @@
         environment["EDGE_NAME"] = fmt::format("n{}", number);
         environment["EDGE_LISTEN"] = fmt::format("127.0.0.1:{}", first_port + number);
         environment["EDGE_CONFIG"] = config.string();
-        child_ = process::child(of.program, "platform", environment, process::std_err > log_.string(), process::std_out > process::null, process::limit_handles);
+        child_ = process::child(of.program, "platform", environment, process::std_err > log_.string(),
+                                process::std_out > process::null, process::limit_handles);
     }
     ~RealController() {
         if (child_.running()) child_.terminate();
@@ -183,11 +215,13 @@
 
     net::Task<> start() {
         for (std::size_t i = 0; i < case_.watchers; ++i)
-            watchers_.push_back(std::make_unique<HollowWatcher>(world_, net::Address{"127.0.0.1", discovery_port}, case_.seed * 100'000 + i,
+            watchers_.push_back(std::make_unique<HollowWatcher>(world_, net::Address{"127.0.0.1", discovery_port},
+                                                                case_.seed * 100'000 + i,
                                                                 [this](std::uint64_t number) { heard(number); }));
         double slowest = 0;
         for (std::size_t i = 0; i < case_.processes; ++i) {
-            clients_.push_back(std::make_unique<HollowClient>(world_, net::Address{"127.0.0.1", static_cast<std::uint16_t>(first_port + i)}));
+            clients_.push_back(std::make_unique<HollowClient>(
+                world_, net::Address{"127.0.0.1", static_cast<std::uint16_t>(first_port + i)}));
             const net::Time begun = world_.now();
             controllers_.push_back(std::make_unique<RealController>(case_, i, folder_));
             while (!(co_await clients_.back()->healthy())) {
@@ -215,16 +249,19 @@
         note("idle_resident", "bytes", after.resident_bytes);
         note("idle_processor", "%", 100 * (after.processor_s - before.processor_s) / span);
         note("idle_log", "bytes/s", (log_bytes() - log_before) / span);
-        note("idle_invoker_bytes", "bytes/s", per_process(static_cast<double>(invokers_.bytes()) - probes_before) / span);
+        note("idle_invoker_bytes", "bytes/s",
+             per_process(static_cast<double>(invokers_.bytes()) - probes_before) / span);
         const double watching = static_cast<double>(case_.processes + case_.watchers);
-        note("heartbeat_bytes_a_watcher", "bytes/s", (static_cast<double>(discovery_.bytes_sent()) - told_before) / span / watching);
+        note("heartbeat_bytes_a_watcher", "bytes/s",
+             (static_cast<double>(discovery_.bytes_sent()) - told_before) / span / watching);
     }
 
     net::Task<> calls(std::size_t process, net::Time until) {
         Pcg random(case_.seed * 7919 + process);
         while (world_.now() < until) {
             clients_[process]->call(bytes::hex16(0x9e3779b97f4a7c15ULL * (popularity_.sample(random) + 1)));
-            co_await world_.sleep(net::Time(static_cast<net::Time::rep>(-std::log(1 - random.next()) / case_.calls_per_s * 1e6)));
+            co_await world_.sleep(
+                net::Time(static_cast<net::Time::rep>(-std::log(1 - random.next()) / case_.calls_per_s * 1e6)));
         }
     }
 
@@ -237,16 +274,18 @@
         co_await world_.sleep(settle);
         const ProcessUse before = use();
         const double log_before = log_bytes();
-        const auto bytes_before = invokers_.bytes(), connections_before = invokers_.connections(), runs_before = invokers_.runs(),
-                   probes_before = invokers_.probes();
+        const auto bytes_before = invokers_.bytes(), connections_before = invokers_.connections(),
+                   runs_before = invokers_.runs(), probes_before = invokers_.probes();
         co_await world_.sleep(case_.busy - 100ms);
         const double span = std::chrono::duration<double>(case_.busy - 100ms).count();
         const ProcessUse after = use();
         note("busy_resident", "bytes", after.resident_bytes);
         note("busy_processor", "%", 100 * (after.processor_s - before.processor_s) / span);
         note("busy_log", "bytes/s", (log_bytes() - log_before) / span);
-        note("busy_invoker_bytes", "bytes/s", per_process(static_cast<double>(invokers_.bytes() - bytes_before)) / span);
-        note("busy_connections", "1/s", per_process(static_cast<double>(invokers_.connections() - connections_before)) / span);
+        note("busy_invoker_bytes", "bytes/s",
+             per_process(static_cast<double>(invokers_.bytes() - bytes_before)) / span);
+        note("busy_connections", "1/s",
+             per_process(static_cast<double>(invokers_.connections() - connections_before)) / span);
         note("busy_attempts", "1/s", per_process(static_cast<double>(invokers_.runs() - runs_before)) / span);
         note("busy_probes", "1/s", per_process(static_cast<double>(invokers_.probes() - probes_before)) / span);
         co_await world_.sleep(settle);
@@ -270,20 +309,24 @@
     }
 
     void heard(std::uint64_t number) {
-        if (number == awaited_) heard_after_.push_back(std::chrono::duration<double, std::milli>(world_.now() - told_).count());
+        if (number == awaited_)
+            heard_after_.push_back(std::chrono::duration<double, std::milli>(world_.now() - told_).count());
     }
 
     net::Task<> await_watchers(std::uint64_t number) {
         awaited_ = number;
         heard_after_.clear();
         const net::Time begun = world_.now();
-        while (heard_after_.size() < watchers_.size() && world_.now() - begun < reconnect_limit) co_await world_.sleep(5ms);
+        while (heard_after_.size() < watchers_.size() && world_.now() - begun < reconnect_limit)
+            co_await world_.sleep(5ms);
     }
 
     void note_spread(const char* what, std::vector<double> values) {
         if (values.empty()) return;
         std::sort(values.begin(), values.end());
-        const auto part = [&](double p) { return values[static_cast<std::size_t>(p * static_cast<double>(values.size() - 1))]; };
+        const auto part = [&](double p) {
+            return values[static_cast<std::size_t>(p * static_cast<double>(values.size() - 1))];
+        };
         measured_.push_back({fmt::format("{}_p50", what), "ms", part(0.5)});
         measured_.push_back({fmt::format("{}_p99", what), "ms", part(0.99)});
         measured_.push_back({fmt::format("{}_worst", what), "ms", part(1)});
@@ -312,9 +355,11 @@
         co_await await_watchers(last);
         note_spread("burst", heard_after_);
         co_await world_.sleep(settle);
-        note("burst_processor_a_change", "us", 1e6 * (use().processor_s - before.processor_s) / static_cast<double>(case_.changes));
+        note("burst_processor_a_change", "us",
+             1e6 * (use().processor_s - before.processor_s) / static_cast<double>(case_.changes));
         note("burst_bytes_a_watcher_a_change", "bytes",
-             static_cast<double>(discovery_.bytes_sent() - bytes_before) / static_cast<double>(case_.changes * (case_.processes + case_.watchers)));
+             static_cast<double>(discovery_.bytes_sent() - bytes_before) /
+                 static_cast<double>(case_.changes * (case_.processes + case_.watchers)));
     }
 
     net::Task<> outage_of_discovery() {
@@ -326,16 +371,21 @@
             co_return;
         }
         const net::Time back = world_.now();
-        const auto all = [&] { return discovery_.connections() - connections_before >= case_.processes + case_.watchers; };
+        const auto all = [&] {
+            return discovery_.connections() - connections_before >= case_.processes + case_.watchers;
+        };
         while (!all() && world_.now() - back < reconnect_limit) co_await world_.sleep(5ms);
-        note("reconnected_all", "ms", all() ? std::chrono::duration<double, std::milli>(world_.now() - back).count() : 1e9);
+        note("reconnected_all", "ms",
+             all() ? std::chrono::duration<double, std::milli>(world_.now() - back).count() : 1e9);
     }
 
     net::Task<> end() {
         for (const auto& client : clients_) client->close();
         for (const auto& controller : controllers_) controller->ask_to_end();
         const net::Time begun = world_.now();
-        const auto any_running = [&] { return std::any_of(controllers_.begin(), controllers_.end(), [](const auto& it) { return it->running(); }); };
+        const auto any_running = [&] {
+            return std::any_of(controllers_.begin(), controllers_.end(), [](const auto& it) { return it->running(); });
+        };
         while (any_running() && world_.now() - begun < end_limit) co_await world_.sleep(20ms);
     }
 
--- a/scale/processor_time.hpp
+++ b/scale/processor_time.hpp
@@ -1,9 +1,8 @@
 // Processor time of the calling thread: unlike the wall clock it does not run while others have the core.
 #pragma once
 
-#include <ctime>
-
 #include <chrono>
+#include <ctime>
 
 namespace plumkeel::scale {
 
--- a/scale/results.hpp
+++ b/scale/results.hpp
@@ -1,5 +1,5 @@
-// Results of scale runs: one measurement a row, as a CSV file that says which format, machine and commit it is of, and that
-// ends with the number of its rows, so that a file cut off is refused.
+// Results of scale runs: one measurement a row, as a CSV file that says which format, machine and commit it is of, and
+// that ends with the number of its rows, so that a file cut off is refused.
 #pragma once
 
 #include <stdexcept>
--- a/scale/slopes.cpp
+++ b/scale/slopes.cpp
@@ -25,12 +25,14 @@
 
 Line line_through(const Points& points) {
     using boost::math::statistics::simple_ordinary_least_squares_with_R_squared;
-    const auto [intercept, slope, r_squared] = simple_ordinary_least_squares_with_R_squared(points.sizes, points.values);
+    const auto [intercept, slope, r_squared] =
+        simple_ordinary_least_squares_with_R_squared(points.sizes, points.values);
     return {intercept, slope, r_squared};
 }
 
 bool several_sizes(const Points& points) {
-    return std::any_of(points.sizes.begin(), points.sizes.end(), [&](double size) { return size != points.sizes.front(); });
+    return std::any_of(points.sizes.begin(), points.sizes.end(),
+                       [&](double size) { return size != points.sizes.front(); });
 }
 
 double residual_of(const Points& points, const Line& line) {
@@ -98,27 +100,30 @@
     std::vector<std::vector<const Row*>> groups;
     std::map<std::vector<std::string>, std::size_t> place;
     for (const Row& row : rows) {
-        const auto [it, fresh] = place.try_emplace({row.experiment, row.series, row.size_name, row.metric}, groups.size());
+        const auto [it, fresh] =
+            place.try_emplace({row.experiment, row.series, row.size_name, row.metric}, groups.size());
         if (fresh) groups.emplace_back();
         groups[it->second].push_back(&row);
     }
     std::vector<Slope> out;
     for (const auto& group : groups) {
         const double size = group.front()->size;
-        if (std::any_of(group.begin(), group.end(), [&](const Row* row) { return row->size != size; })) out.push_back(slope_of(group));
+        if (std::any_of(group.begin(), group.end(), [&](const Row* row) { return row->size != size; }))
+            out.push_back(slope_of(group));
     }
     return out;
 }
 
 void write_slopes(const std::string& file, const std::vector<Slope>& slopes) {
     std::ofstream out(file);
-    out << "experiment,series,size_name,metric,unit,smallest,largest,at_smallest,at_largest,intercept,slope,slope_least,slope_most,residual,"
+    out << "experiment,series,size_name,metric,unit,smallest,largest,at_smallest,at_largest,intercept,slope,slope_"
+           "least,slope_most,residual,"
            "r_squared,exponent,runs\n";
     for (const Slope& it : slopes)
-        out << fmt::format("{},{},{},{},{},{:g},{:g},{:.6g},{:.6g},{:.6g},{:.6g},{:.6g},{:.6g},{:.6g},{:.4f},{},{}\n", it.experiment, it.series,
-                           it.size_name, it.metric, it.unit, it.smallest, it.largest, it.at_smallest, it.at_largest, it.intercept, it.slope,
-                           it.slope_least, it.slope_most, it.residual, it.r_squared, it.exponent ? fmt::format("{:.2f}", *it.exponent) : "",
-                           it.runs);
+        out << fmt::format("{},{},{},{},{},{:g},{:g},{:.6g},{:.6g},{:.6g},{:.6g},{:.6g},{:.6g},{:.6g},{:.4f},{},{}\n",
+                           it.experiment, it.series, it.size_name, it.metric, it.unit, it.smallest, it.largest,
+                           it.at_smallest, it.at_largest, it.intercept, it.slope, it.slope_least, it.slope_most,
+                           it.residual, it.r_squared, it.exponent ? fmt::format("{:.2f}", *it.exponent) : "", it.runs);
     out.flush();
     if (!out) throw ResultsFault(file + ": can't be written");
 }
--- a/scale/slopes.hpp
+++ b/scale/slopes.hpp
@@ -1,5 +1,5 @@
-// How a metric grows with size: least squares over all runs, with its residual, the range of the slopes of the single runs, and
-// the exponent of growth (the slope between the logarithms).
+// How a metric grows with size: least squares over all runs, with its residual, the range of the slopes of the single
+// runs, and the exponent of growth (the slope between the logarithms).
 #pragma once
 
 #include <optional>
--- a/src/charter/charter.hpp
+++ b/src/charter/charter.hpp
@@ -35,6 +35,7 @@
 
 struct PoolRules {  // the connections to one invoker
     std::size_t most = 256;
+    std::size_t most_invokers = 40'000;  // held at once, those that left in the last seconds among them; further ones are not taken up
     std::size_t most_all = 100'000;  // to all invokers together; each has one all the same
     std::size_t hops_a_connection = 1;     // where the protocol carries several
     std::size_t queued = 1024;  // hops that wait for a connection; beyond: turned back as never sent
--- a/src/discovery/frames.cpp
+++ b/src/discovery/frames.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr std::size_t length_bytes = 4, fixed_bytes = 9, record_bytes = 27;
-constexpr std::size_t most_records = 20'000;
 enum Kind : unsigned char { nothing = 0, whole_list = 1, changes = 2 };
 enum State : unsigned char { up = 0, draining = 1, gone = 2 };
 
@@ -99,7 +98,10 @@
         event.number = need<std::uint64_t>(notice, "rev");
         event.news = true;
         event.whole = out.size() == 1 || get<bool>(pool, "all");
-        for (const json& target : get<json>(pool, "targets", json::array())) {
+        const json targets = get<json>(pool, "targets", json::array());
+        if (targets.size() > most_records)
+            throw settings::Fault(fmt::format("field 'targets' of 'known' names {} invokers; {} at most", targets.size(), most_records));
+        for (const json& target : targets) {
             fleet::Entry entry;
             entry.name = need<std::string>(target, "uid");
             entry.address = need<std::string>(target, "endpoint");
--- a/src/discovery/frames.hpp
+++ b/src/discovery/frames.hpp
@@ -12,6 +12,9 @@
 
 namespace plumkeel::discovery {
 
+// Records in one event; a larger one is not read.
+constexpr std::size_t most_records = 20'000;
+
 struct Event {
     std::uint64_t number{};
     bool news{};   // else it says only that there is nothing new
--- a/src/dispatch/belief_table.hpp
+++ b/src/dispatch/belief_table.hpp
@@ -1,5 +1,5 @@
-// What a controller takes a function's standing at invokers to be, by invoker: in the order in which beliefs were formed, and
-// found without a scan where there are many. Plain data; nothing is decided here.
+// What a controller takes a function's standing at invokers to be, by invoker: in the order in which beliefs were
+// formed, and found without a scan where there are many. Plain data; nothing is decided here.
 #pragma once
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -69,7 +69,8 @@
     void index() {
         positions_ = std::make_unique<Positions>();
         positions_->reserve(all_.size());
-        for (std::size_t i = 0; i < all_.size(); ++i) positions_->emplace(all_[i].invoker, static_cast<std::uint32_t>(i));
+        for (std::size_t i = 0; i < all_.size(); ++i)
+            positions_->emplace(all_[i].invoker, static_cast<std::uint32_t>(i));
     }
 
     std::vector<Belief> all_;
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -1,5 +1,5 @@
-// What a controller keeps in step as things change: beliefs and who holds them, loads, clocks, due times, marks. No decision is
-// made here; those are in controller.cpp.
+// What a controller keeps in step as things change: beliefs and who holds them, loads, clocks, due times, marks. No
+// decision is made here; those are in controller.cpp.
 #include <algorithm>
 
 #include "dispatch/controller.hpp"
--- a/src/dispatch/controller.cpp
+++ b/src/dispatch/controller.cpp
@@ -27,20 +27,20 @@
 
 // The pick.
 constexpr std::size_t homes = 2, further = 1;
-constexpr std::size_t most_weighed = 16;  // that are told of for one job
+constexpr std::size_t most_weighed = 16;                   // that are told of for one job
 constexpr std::size_t most_visited = 64, most_homes = 48;  // for one job: of a larger fleet, of its homes
-constexpr double home_room = 2.2;  // more of the fleet for a function than its part of the jobs
-constexpr double unseen = 0.5;     // arrivals that any function counts for at the start
+constexpr double home_room = 2.2;                          // more of the fleet for a function than its part of the jobs
+constexpr double unseen = 0.5;                             // arrivals that any function counts for at the start
 constexpr double shared_jobs = 3, few_arrivals = 20;
-constexpr double seed_wait = 0.2;  // of the promised time: behind others, before a further home is looked for
-constexpr double seed_calm = 0.05;  // and what that one may make it wait
-constexpr double seldom = 0.01;     // of the hops to a copy that had been pushed out: more is short memory
+constexpr double seed_wait = 0.2;          // of the promised time: behind others, before a further home is looked for
+constexpr double seed_calm = 0.05;         // and what that one may make it wait
+constexpr double seldom = 0.01;            // of the hops to a copy that had been pushed out: more is short memory
 constexpr double second_home_bias = 1.15;  // a cold second home must be this much better than the first
 constexpr double tie = 0.002;              // seconds
 constexpr double herd_tie = 0.2;           // of a run
 constexpr double assumed_part = 0.1, assumed_load = 1.0, assumed_press = 0.2;  // until something is learned
-constexpr double copy_share = 0.45;  // of a load: a further copy beside a standing one needs no fetch
-constexpr double join_share = 0.8;   // of a load's time, after which its jobs stop waiting for its answer
+constexpr double copy_share = 0.45;   // of a load: a further copy beside a standing one needs no fetch
+constexpr double join_share = 0.8;    // of a load's time, after which its jobs stop waiting for its answer
 constexpr double report_gain = 0.02;  // what one report tells of the whole fleet, once there were a few
 constexpr int few_reports = 20;
 constexpr Time report_life = 1500ms, report_age = 400ms;
@@ -60,7 +60,7 @@
 constexpr Time sweep_period = 250ms, sweep_slack = 50ms, probe_gap = 600ms, quiet_gap = 400ms;
 constexpr double probes_a_job = 0.5, probes_saved = 40;  // and no more, for reports: saved, from so many jobs
 constexpr double probes_worth = 0.005;  // and of a job's worth no more than this, where probes have a price
-constexpr int rarer = 4;  // an ill invoker is asked in every sweep, and less often while it is silent
+constexpr int rarer = 4;                // an ill invoker is asked in every sweep, and less often while it is silent
 constexpr int misses_aside = 2, cuts_doubted = 2, answers_back = 2, eased = 8, first_ease = 2;
 constexpr Time copies_gone = 3s;   // silent for longer than any stall: its copies are not counted on
 constexpr Time shun = 300ms;       // after it turned a job away
@@ -74,8 +74,8 @@
 constexpr Time forget_function = 60s, release_invoker = 5s;
 constexpr std::size_t most_functions = 16'384, most_called_once = most_functions / 4, most_spared = 16;
 constexpr std::size_t most_due = 64, most_released = 64;  // in one turn: due times; functions when the list changes
-constexpr std::size_t most_swept = 256;  // looked at for reports in one sweep
-constexpr double no_fault = 1e-6;  // faded so far, errors are forgotten
+constexpr std::size_t most_swept = 256;                   // looked at for reports in one sweep
+constexpr double no_fault = 1e-6;                         // faded so far, errors are forgotten
 constexpr Time idle_spare = 700ms;  // for each controller: the others, unseen here, use the copy too
 
 constexpr double in_seconds(Time t) {
@@ -86,8 +86,7 @@
 }
 
 bool never_ran(Ending e) {
-    return e == Ending::turned_away || e == Ending::unreachable || e == Ending::never_sent ||
-           e == Ending::not_loaded;
+    return e == Ending::turned_away || e == Ending::unreachable || e == Ending::never_sent || e == Ending::not_loaded;
 }
 
 }  // namespace
@@ -128,8 +127,7 @@
         if (!hasty && job.state == JobState::fresh && parked_ < park_limit) return park(job, Why::crowded);
         const double ready = load_time(function) - in_seconds(now_ - function.loading_since);
         if (function.loading && ready + function.run > left) return give_up(job, Why::crowded);
-        if (!function.loading && (!best.calm || function.level < favourite))
-            return give_up(job, Why::crowded);
+        if (!function.loading && (!best.calm || function.level < favourite)) return give_up(job, Why::crowded);
         if (!function.loading) best = Choice{best.calm}, why = Why::calm_copy;
     }
 
@@ -405,8 +403,8 @@
     return search;
 }
 
-// Exception "sample": of more homes than a choice may visit, one is drawn from each of as many equal parts. The best of a few
-// drawn by chance is nearly as good as the best of all (Mitzenmacher, "The power of two choices").
+// Exception "sample": of more homes than a choice may visit, one is drawn from each of as many equal parts. The best of
+// a few drawn by chance is nearly as good as the best of all (Mitzenmacher, "The power of two choices").
 void Controller::look_at_homes(Search& search) {
     const std::size_t most = search.bounded ? most_homes : index_.size();
     const std::size_t listed = std::min(search.wanted, index_.size());
@@ -497,7 +495,9 @@
 // Of more than a choice may visit, a run from a place drawn by chance (exception "sample").
 void Controller::look_at_beliefs(Search& search) {
     BeliefTable& beliefs = search.function.beliefs;
-    const auto first = beliefs.size() > search.visits_left ? static_cast<std::size_t>(chance() * static_cast<double>(beliefs.size())) : 0;
+    const auto first = beliefs.size() > search.visits_left
+                           ? static_cast<std::size_t>(chance() * static_cast<double>(beliefs.size()))
+                           : 0;
     for (std::size_t i = 0; i < beliefs.size() && search.visits_left > 0; ++i) {
         const Belief& belief = beliefs[(first + i) % beliefs.size()];
         if (belief.until <= now_ || belief.invoker->weighed_in == work_.choices) continue;
@@ -535,8 +535,7 @@
                             Choice& choice) const {
     double press = std::max(pace_of(invoker), press_of(invoker) * (crowd_at(invoker) + 1));
     if (invoker.cold_since) {
-        const double risen =
-            std::min(1.0, in_seconds(now_ - *invoker.cold_since) / in_seconds(rules_.cold_for));
+        const double risen = std::min(1.0, in_seconds(now_ - *invoker.cold_since) / in_seconds(rules_.cold_for));
         press /= std::sqrt(rules_.cold_share + (1 - rules_.cold_share) * risen);
     }
     const double run = function.run * press;
@@ -616,13 +615,11 @@
 Results Controller::hop_accepted(Time now, Hop& hop) {
     enter(now);
     Job& job = *hop.job;
-    if (!job.answered() && job.state != JobState::streaming)
-        turn(job, JobState::streaming, Why::answer_begun);
+    if (!job.answered() && job.state != JobState::streaming) turn(job, JobState::streaming, Why::answer_begun);
     return done();
 }
 
-Results Controller::hop_ended(Time now, Hop& hop, Ending ending, Note note, int company,
-                              const Report& report) {
+Results Controller::hop_ended(Time now, Hop& hop, Ending ending, Note note, int company, const Report& report) {
     enter(now);
     Job& job = *hop.job;
     Function& function = *job.function;
@@ -664,8 +661,7 @@
             if (hop.expected_warm && in_seconds(now - hop.sent) > function.run * ratio_at(hop))
                 learn_ratio(hop, in_seconds(now - hop.sent));
             // A load that has begun goes on without the job that wanted it.
-            if (hop.loads && invoker.standing == Standing::trusted &&
-                in_seconds(now - hop.sent) > load_time(function))
+            if (hop.loads && invoker.standing == Standing::trusted && in_seconds(now - hop.sent) > load_time(function))
                 set_until(function, believe(function, invoker), now + may_.keep_alive / 2);
             break;
         case Ending::never_sent:
@@ -683,9 +679,9 @@
         else if (now + 2 * may_.tick >= job.expires)
             give_up(job, Why::time_up);
         else if (never_ran(ending))
-            park(job, Why::never_ran);  // step 1: it never ran, so it waits for the next resend
+            park(job, Why::never_ran);   // step 1: it never ran, so it waits for the next resend
         else if (may_hop(job, invoker))  // where no invoker may take it again, this one may not either
-            place(job);  // it may have run, and may run again
+            place(job);                  // it may have run, and may run again
         else
             give_up(job, Why::may_have_run);
     }
@@ -749,8 +745,7 @@
 
     Belief& belief = believe(function, invoker);
     set_until(function, belief, now_ + may_.keep_alive);
-    if (hop.expected_warm && hop.beside == 0)
-        pushed_out_ += 0.02 * ((note == Note::began_load ? 1 : 0) - pushed_out_);
+    if (hop.expected_warm && hop.beside == 0) pushed_out_ += 0.02 * ((note == Note::began_load ? 1 : 0) - pushed_out_);
     if (note == Note::began_load && hop.expected_warm) ++belief.copies;
     if (note != Note::began_load && company + 1 > belief.copies * std::max(1, function.lanes) &&
         took < 0.5 * load_time(function))
@@ -792,8 +787,7 @@
         figure = std::clamp(figure * (1 + by * off), least, most);
     };
     const double by = std::max(kind_gain, 1.0 / (few_arrivals + (few ? ++kind.paced : ++kind.pressed)));
-    if (hop.ending == Ending::honoured)
-        nudge(few ? kind.pace : kind.press, by, few ? 0.3 : 0.002, few ? 5.0 : 2.0);
+    if (hop.ending == Ending::honoured) nudge(few ? kind.pace : kind.press, by, few ? 0.3 : 0.002, few ? 5.0 : 2.0);
     nudge(few ? invoker.pace : invoker.press, few ? 0.03 : 0.05, 0.2, 5.0);
 }
 
@@ -848,7 +842,8 @@
 void Controller::make_room() {
     for (std::size_t i = 0; functions_.size() >= most_functions && i < most_spared; ++i) {
         Function& oldest = *functions_.oldest(most_called_once);
-        const bool out = std::any_of(oldest.beliefs.begin(), oldest.beliefs.end(), [](const Belief& b) { return b.out > 0; });
+        const bool out =
+            std::any_of(oldest.beliefs.begin(), oldest.beliefs.end(), [](const Belief& b) { return b.out > 0; });
         if (out || oldest.jobs > 0 || oldest.loading)
             functions_.spare(oldest);
         else
@@ -1121,8 +1116,7 @@
     for (Belief& belief : function.beliefs)
         if (believed(&belief) && (!kept || rank(belief) < rank(*kept))) kept = &belief;
     for (Belief& belief : function.beliefs) {
-        if (!believed(&belief) || &belief == kept || belief.out > 0 || !may_send_to(*belief.invoker))
-            continue;
+        if (!believed(&belief) || &belief == kept || belief.out > 0 || !may_send_to(*belief.invoker)) continue;
         if (belief.until - may_.keep_alive + idle_spare * std::max(1, may_.controllers) > now_) continue;
         results_.ordered.push_back({&function, belief.invoker, 0});
         set_until(function, belief, Time{});
--- a/src/dispatch/controller.hpp
+++ b/src/dispatch/controller.hpp
@@ -92,8 +92,7 @@
     void tell_weighed(const Choice& choice, Bar bar);
     bool room_is_short();
     bool erred_there(const Job& job, const Invoker& invoker) const;
-    double estimate(const Function& function, const Invoker& invoker, const Belief* belief,
-                    Choice& choice) const;
+    double estimate(const Function& function, const Invoker& invoker, const Belief* belief, Choice& choice) const;
 
     bool may_hop(const Job& job, const Invoker& invoker) const;
     bool may_bounce(const Job& job) const;
@@ -168,7 +167,7 @@
     std::map<Ticket, Due> due_;
     std::uint64_t tickets_{};
     Time sweep_at_{}, back_at_{};
-    double own_crowd_{};               // own jobs for each unit of an invoker, on the mean
+    double own_crowd_{};                 // own jobs for each unit of an invoker, on the mean
     double told_own_{}, told_others_{};  // means of that and of others' jobs, when reports came
     int reports_{};
     bool doubting_{};  // nearly all invokers look bad: the judgement is doubted, not the fleet
@@ -180,7 +179,7 @@
     double probes_left_{}, probes_a_job_{};
     double level_{}, level_span_{};  // a fading count of arrivals, and over how many seconds
     Time seen_{};
-    double shares_{};  // of all tenants met, in jobs a second
+    double shares_{};                  // of all tenants met, in jobs a second
     double pushed_out_{};              // of the hops to a copy taken to stand, the part that found none
     std::uint64_t list_{};             // how often the list has changed
     std::deque<Time> taken_, orders_;  // kept for the ration only
--- a/src/dispatch/fleet_table.hpp
+++ b/src/dispatch/fleet_table.hpp
@@ -1,5 +1,5 @@
-// The invokers that a controller knows, and the few of them that its periodic work has to look at, kept ready as things change:
-// so that a sweep costs what has happened and not the size of the fleet. Plain data; nothing is decided here.
+// The invokers that a controller knows, and the few of them that its periodic work has to look at, kept ready as things
+// change: so that a sweep costs what has happened and not the size of the fleet. Plain data; nothing is decided here.
 #pragma once
 
 #include <chrono>
@@ -15,12 +15,13 @@
 
 // What one invoker adds to the totals of the fleet.
 struct InvokerShare {
-    bool ready{};              // listed, and takes new attempts
-    bool good{};               // ready, and nothing speaks against it
-    bool warm{};               // ready, trusted, and not in a cold start
-    bool watched{};            // the sweep has to look at it
-    std::size_t attempts{};    // own ones out there, where it is ready
-    std::int64_t micro_units{};  // its units in millionths, where it is ready: sums of integers do not depend on their order
+    bool ready{};            // listed, and takes new attempts
+    bool good{};             // ready, and nothing speaks against it
+    bool warm{};             // ready, trusted, and not in a cold start
+    bool watched{};          // the sweep has to look at it
+    std::size_t attempts{};  // own ones out there, where it is ready
+    std::int64_t
+        micro_units{};  // its units in millionths, where it is ready: sums of integers do not depend on their order
 };
 
 struct FleetTotals {
--- a/src/dispatch/function_table.cpp
+++ b/src/dispatch/function_table.cpp
@@ -51,7 +51,8 @@
         out.back()->place.check_at = Moment::max();
         checks_.erase(checks_.begin());
     }
-    std::sort(out.begin(), out.end(), [](const Function* a, const Function* b) { return a->place.number < b->place.number; });
+    std::sort(out.begin(), out.end(),
+              [](const Function* a, const Function* b) { return a->place.number < b->place.number; });
     return out;
 }
 
--- a/src/dispatch/function_table.hpp
+++ b/src/dispatch/function_table.hpp
@@ -1,8 +1,8 @@
-// The functions that a controller holds: how recently each was called, and those few that wait, load, stand at several invokers
-// or are due to be looked at. Plain data; nothing is decided here.
+// The functions that a controller holds: how recently each was called, and those few that wait, load, stand at several
+// invokers or are due to be looked at. Plain data; nothing is decided here.
 //
-// Recency is that of a segmented LRU: functions called once stand apart from those called again, so that a flood of names that
-// are called but once does not wash out the others.
+// Recency is that of a segmented LRU: functions called once stand apart from those called again, so that a flood of
+// names that are called but once does not wash out the others.
 #pragma once
 
 #include <chrono>
@@ -36,8 +36,8 @@
     void remove(Function& function);
     std::size_t size() const { return once_.size() + again_.size(); }
     void called_again(Function& function);
-    // The least recently called of those called once, where these are over the stated number, else of the others; null where
-    // there is none.
+    // The least recently called of those called once, where these are over the stated number, else of the others; null
+    // where there is none.
     Function* oldest(std::size_t once_at_most) const;
     // As if it had just been called: it is in use.
     void spare(Function& function);
--- a/src/dispatch/placement_index.cpp
+++ b/src/dispatch/placement_index.cpp
@@ -12,8 +12,8 @@
 namespace {
 
 constexpr std::size_t least_log = 64;  // changes kept however small the fleet is
-constexpr std::size_t dear = 4;         // places moved for each listed invoker, beyond which a search is cheaper
-constexpr std::size_t headroom = 4;     // a search finds a quarter more than are needed: the need of a favourite wavers
+constexpr std::size_t dear = 4;        // places moved for each listed invoker, beyond which a search is cheaper
+constexpr std::size_t headroom = 4;    // a search finds a quarter more than are needed: the need of a favourite wavers
 constexpr std::size_t generous = 8, spare = 128;  // homes longer than so many times the need, and this, are cut
 
 // Uniform over (0, 1), from the hash's upper 53 bits. They fit a signed number, which converts faster.
@@ -21,8 +21,8 @@
     return (static_cast<double>(static_cast<std::int64_t>(mix(key ^ invoker_hash) >> 11)) + 0.5) * 0x1p-53;
 }
 
-// The rank that about so many of the listed, or a few more, are expected not to pass. Exact for equal weights; where they
-// differ too few may be found, and the search is repeated.
+// The rank that about so many of the listed, or a few more, are expected not to pass. Exact for equal weights; where
+// they differ too few may be found, and the search is repeated.
 double reach_for(std::size_t count, std::size_t listed, double weights) {
     const double wanted = static_cast<double>(count), all = static_cast<double>(listed);
     const double part = (wanted + 4 * std::sqrt(wanted) + 4) / all;
@@ -103,8 +103,8 @@
     return homes.first;
 }
 
-// False where the log does not reach back to what these homes agree with, or a new search is the cheaper way: each change
-// may move as many places as are held.
+// False where the log does not reach back to what these homes agree with, or a new search is the cheaper way: each
+// change may move as many places as are held.
 bool PlacementIndex::catch_up(std::uint64_t key, Homes& homes) {
     const std::uint64_t behind = version_ - homes.version;
     if (homes.version == 0 || behind > changes_.size()) return false;
--- a/src/dispatch/placement_index.hpp
+++ b/src/dispatch/placement_index.hpp
@@ -1,9 +1,10 @@
-// Weighted rendezvous hashing (highest random weight) over the listed invokers: for a key, the first of them in the order that
-// all controllers share, found without an order of the whole fleet for each key. Plain data; nothing is decided here.
+// Weighted rendezvous hashing (highest random weight) over the listed invokers: for a key, the first of them in the
+// order that all controllers share, found without an order of the whole fleet for each key. Plain data; nothing is
+// decided here.
 //
-// A key's owner keeps its Homes: the invokers up to a rank. They are brought up to date from a log of changes, at a cost in
-// step with the changes, and found anew by one pass over the hashes (16 bytes an invoker) only where more of them are needed
-// or the log no longer reaches back.
+// A key's owner keeps its Homes: the invokers up to a rank. They are brought up to date from a log of changes, at a
+// cost in step with the changes, and found anew by one pass over the hashes (16 bytes an invoker) only where more of
+// them are needed or the log no longer reaches back.
 #pragma once
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -15,8 +16,8 @@
 
 struct Invoker;
 
-// A place in a key's order; less is earlier. An exponential variate of rate `weight`, so that the share of keys of which an
-// invoker is the first goes with its weight.
+// A place in a key's order; less is earlier. An exponential variate of rate `weight`, so that the share of keys of
+// which an invoker is the first goes with its weight.
 double placement_rank(std::uint64_t key, std::uint64_t invoker_hash, double weight);
 
 class PlacementIndex {
--- a/src/dispatch/types.hpp
+++ b/src/dispatch/types.hpp
@@ -100,8 +100,8 @@
     bool loads{};  // this hop is its function's one load
     bool expected_warm{};
     bool seen_warm{};  // by an answer from there, not by what other controllers are taken to do
-    int beside{};    // own jobs of the function there when it left
-    double crowd{};  // jobs thought to be there when it left
+    int beside{};      // own jobs of the function there when it left
+    double crowd{};    // jobs thought to be there when it left
     std::optional<Ending> ending;
 };
 
@@ -174,7 +174,7 @@
     Time delay{}, resend{};
     Ticket due{};
     Time seen{};
-    double level{};  // a fading count of arrivals
+    double level{};               // a fading count of arrivals
     PlacementIndex::Homes homes;  // the first invokers, as the controllers rank them for this function
     int jobs{};                   // unclosed
     FunctionPlace place;
@@ -218,7 +218,7 @@
     std::deque<std::pair<Time, int>> moves;  // lately sent and ended
     int lately{};                            // the sum of these
     Time shun_until{}, no_room_until{};
-    std::vector<Function*> holders;           // functions with a belief of it
+    std::vector<Function*> holders;                     // functions with a belief of it
     std::uint64_t told_in{}, weighed_in{}, named_in{};  // the last list, choice and sweep in which it came up
     InvokerPlace place;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -254,7 +254,12 @@
 void Gateway::fleet_told(const std::vector<fleet::Entry>& changed, bool complete) {
     std::vector<Invoker*> invokers;
     const Time zero = world_.wall() - world_.now();
+    std::size_t left_out = 0;
     for (const fleet::Entry& entry : changed) {
+        if (posts_.size() >= charter_.pool.most_invokers && !posts_.count(entry.name)) {
+            ++left_out;
+            continue;
+        }
         std::unique_ptr<Post>& post = posts_[entry.name];
         if (!post) post = std::make_unique<Post>();
         post->name = entry.name;
@@ -273,6 +278,8 @@
             post->pool = pool_for_(*address, connection_counts_);
         invokers.push_back(post.get());
     }
+    if (left_out > 0)
+        log_.line(Log::Level::error, "list_over_bound", {{"left_out", left_out}, {"most", charter_.pool.most_invokers}});
     feed([&](trace::Watched& it, Time now) { return it.fleet_changed(now, invokers, complete); });
     if (complete)
         for (const auto& [name, post] : posts_) withdraw(*post);
--- a/tests/decision_bounds_test.cpp
+++ b/tests/decision_bounds_test.cpp
@@ -1,4 +1,5 @@
-// What the module's bounds promise: functions held, invokers visited a choice, work a turn; and that below them nothing is lost.
+// What the module's bounds promise: functions held, invokers visited a choice, work a turn; and that below them nothing
+// is lost.
 #include <gtest/gtest.h>
 
 #include <memory>
--- a/tests/placement_index_test.cpp
+++ b/tests/placement_index_test.cpp
@@ -32,7 +32,8 @@
     }
     std::vector<const Invoker*> expected(std::uint64_t key, std::size_t count) const {
         std::vector<std::pair<double, const Invoker*>> ranked;
-        for (const auto& [invoker, weight] : listed_) ranked.emplace_back(placement_rank(key, hash_of(invoker->name), weight), invoker);
+        for (const auto& [invoker, weight] : listed_)
+            ranked.emplace_back(placement_rank(key, hash_of(invoker->name), weight), invoker);
         std::sort(ranked.begin(), ranked.end());
         std::vector<const Invoker*> out;
         for (std::size_t i = 0; i < std::min(count, ranked.size()); ++i) out.push_back(ranked[i].second);
@@ -84,7 +85,8 @@
         PlacementIndex::Homes homes;
     };
     std::vector<Owner> owners;
-    for (std::uint64_t i = 0; i < 40; ++i) owners.push_back({mix(i + 1), i % 4 ? std::size_t{3} : std::size_t{120}, {}});
+    for (std::uint64_t i = 0; i < 40; ++i)
+        owners.push_back({mix(i + 1), i % 4 ? std::size_t{3} : std::size_t{120}, {}});
     for (int step = 0; step < 4000; ++step) {
         Invoker& any = *invokers_[static_cast<std::size_t>(random.next() * static_cast<double>(invokers_.size()))];
         const double what = random.next();
@@ -94,7 +96,8 @@
             put(any, 1 + static_cast<int>(random.next() * 4));
         else
             add(4);
-        Owner& owner = owners[static_cast<std::size_t>(random.next() * random.next() * static_cast<double>(owners.size()))];
+        Owner& owner =
+            owners[static_cast<std::size_t>(random.next() * random.next() * static_cast<double>(owners.size()))];
         ASSERT_EQ(found(owner.key, owner.homes, owner.count), expected(owner.key, owner.count)) << step;
     }
     for (Owner& owner : owners) EXPECT_EQ(found(owner.key, owner.homes, owner.count), expected(owner.key, owner.count));
@@ -140,7 +143,8 @@
 TEST_F(PlacementIndexTest, TheOrderOfTellingDoesNotMatter) {
     for (int i = 0; i < 200; ++i) add(1 + i % 3);
     PlacementIndex other;
-    for (auto it = invokers_.rbegin(); it != invokers_.rend(); ++it) other.put(**it, hash_of((*it)->name), listed_[it->get()]);
+    for (auto it = invokers_.rbegin(); it != invokers_.rend(); ++it)
+        other.put(**it, hash_of((*it)->name), listed_[it->get()]);
     for (std::uint64_t key = 1; key < 50; ++key) {
         PlacementIndex::Homes here, there;
         const auto& a = index_.find(mix(key), here, 20);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -214,6 +214,28 @@
 
 // ---------------------------------------------------------------- the notice board
 
+TEST_F(PlatformTest, OfAListOverTheBoundOnlySoManyInvokersAreTakenUp) {
+    most_invokers = 4;
+    Noticeboard board(world, "10.9.0.1");
+    open();
+    peer(), peer();
+    world.run(100ms);
+    std::vector<Row> rows;
+    for (std::uint32_t i = 3; i < 50; ++i) rows.push_back({i, "10.0.0." + std::to_string(i)});
+    board.say(frame(2, 2, rows));
+    world.run(1s);
+    const auto invokers = [&] { return host->gateway().believed().size(); };
+    EXPECT_EQ(invokers(), 4u);
+    for (int i = 0; i < 5; ++i) job(1s + i * 100ms, static_cast<std::uint64_t>(i) + 1);
+    // Two leave; once they are let go, others are taken up when they are told of again.
+    board.say(frame(3, 2, {{3, "10.0.0.3", 7001, 2}, {4, "10.0.0.4", 7001, 2}}));
+    world.run(12s);
+    board.say(frame(4, 2, {{5, "10.0.0.5"}, {6, "10.0.0.6"}, {7, "10.0.0.7"}}));
+    world.run(13s);
+    EXPECT_EQ(invokers(), 4u);
+    EXPECT_EQ(honoured(), 5u) << "what is known serves on";
+}
+
 TEST_F(PlatformTest, TheBoardIsFollowedThroughRepeatsGapsBreaksAndSilence) {
     Noticeboard board(world, "10.9.0.1");
     open();
@@ -432,6 +454,21 @@
     EXPECT_GT(run, 200);
 }
 
+TEST(PlatformConfig, AListOverTheBoundIsNamedAtTheStart) {
+    std::string targets;
+    for (std::size_t i = 0; i <= discovery::most_records; ++i)
+        targets += (i ? "," : "") + fmt::format(R"({{"uid":"s-{:08x}","endpoint":"10.{}.{}.{}:7001","state":"up"}})", i, i >> 16, i >> 8 & 255, i & 255);
+    std::string text = plain_config;
+    const auto from = text.find("\"targets\":[") + 11, to = text.find("]}}]}", from);
+    text.replace(from, to - from, targets);
+    try {
+        read_config(file_of(text));
+        FAIL() << "it was read";
+    } catch (const settings::Fault& fault) {
+        EXPECT_NE(std::string(fault.what()).find("field 'targets' of 'known' names 20001 invokers; 20000 at most"), std::string::npos) << fault.what();
+    }
+}
+
 TEST(PlatformConfig, BoundsFollowFromTheLimits) {
     const Config config = read_config(file_of(plain_config));
     EXPECT_LE(config.charter.admission.connections + config.charter.pool.most_all, 256u);
--- a/tests/platform_world.hpp
+++ b/tests/platform_world.hpp
@@ -234,6 +234,7 @@
     void open(const std::string& text = plain_config) {
         config = read_config(file_of(text));
         config.charter.log.file = "/dev/null";
+        config.charter.pool.most_invokers = most_invokers;
         log = std::make_unique<Log>(world, config.charter.log);
         host = std::make_unique<Host>(world, config, *log, [this](const trace::Record& r) { trace.push_back(r); });
         ASSERT_FALSE(host->open());
@@ -276,6 +277,7 @@
     std::vector<trace::Record> trace;
     net::MemoryWorld world;
     Config config;
+    std::size_t most_invokers = Charter{}.pool.most_invokers;
     std::unique_ptr<Log> log;
     std::unique_ptr<Host> host;
     std::vector<std::unique_ptr<Peer>> peers;
--- a/tests/scale_test.cpp
+++ b/tests/scale_test.cpp
@@ -1,5 +1,5 @@
-// The quick forms of the scale runs: counts and orders of growth, which are the same on any machine; never a wall time. Also what
-// plans and results files are refused for.
+// The quick forms of the scale runs: counts and orders of growth, which are the same on any machine; never a wall time.
+// Also what plans and results files are refused for.
 #include <gtest/gtest.h>
 #include <unistd.h>
 
@@ -16,7 +16,8 @@
 
 using namespace std::chrono_literals;
 
-std::map<std::string, double> measure(std::size_t invokers, Disturbance disturbance = Disturbance::none, double exponent = 1.4) {
+std::map<std::string, double> measure(std::size_t invokers, Disturbance disturbance = Disturbance::none,
+                                      double exponent = 1.4) {
     DecisionCase of;
     of.fleet.invokers = invokers;
     of.fleet.instances = 20;
@@ -50,7 +51,8 @@
 
 TEST_P(Growth, OfWhatAChoiceAndASweepLookAtIsBounded) {
     const GrowthCase& of = GetParam();
-    const auto small = measure(small_fleet, of.disturbance, of.exponent), large = measure(large_fleet, of.disturbance, of.exponent);
+    const auto small = measure(small_fleet, of.disturbance, of.exponent),
+               large = measure(large_fleet, of.disturbance, of.exponent);
     EXPECT_LE(large.at("visited_a_choice"), most_visited);
     EXPECT_LE(growth(small.at("visited_a_choice"), large.at("visited_a_choice")), hardly_grows);
     EXPECT_LE(growth(small.at("weighed_a_choice"), large.at("weighed_a_choice")), hardly_grows);
@@ -61,27 +63,31 @@
 TEST_P(Growth, OfRanksIsOnePassOverTheFleetForAFunctionAtItsFirstSight) {
     const GrowthCase& of = GetParam();
     const auto large = measure(large_fleet, of.disturbance, of.exponent);
-    // Calls of the quarter that is warm-up meet functions too: those held bound the first sights from above. Favourites, whose
-    // need of homes grows, and logs that no longer reach back take some passes more.
+    // Calls of the quarter that is warm-up meet functions too: those held bound the first sights from above.
+    // Favourites, whose need of homes grows, and logs that no longer reach back take some passes more.
     const double passes = large.at("hashed") / static_cast<double>(large_fleet);
     EXPECT_LE(passes, 1.5 * large.at("functions_held") + 50);
 }
 
 TEST_P(Growth, OfMemoryIsThatOfTheInvokersAndNotOfInvokersTimesFunctions) {
     const GrowthCase& of = GetParam();
-    const auto small = measure(small_fleet, of.disturbance, of.exponent), large = measure(large_fleet, of.disturbance, of.exponent);
+    const auto small = measure(small_fleet, of.disturbance, of.exponent),
+               large = measure(large_fleet, of.disturbance, of.exponent);
     constexpr double bytes_an_invoker = 3000;
     EXPECT_LE(large.at("module_memory") - small.at("module_memory"), bytes_an_invoker * (large_fleet - small_fleet));
 }
 
 INSTANTIATE_TEST_SUITE_P(Cases, Growth,
-                         testing::Values(GrowthCase{"Favourites", Disturbance::none, 1.4}, GrowthCase{"ManyNames", Disturbance::none, 1.0},
-                                         GrowthCase{"Restarts", Disturbance::restarts, 1.4}, GrowthCase{"Units", Disturbance::units_change, 1.4}),
+                         testing::Values(GrowthCase{"Favourites", Disturbance::none, 1.4},
+                                         GrowthCase{"ManyNames", Disturbance::none, 1.0},
+                                         GrowthCase{"Restarts", Disturbance::restarts, 1.4},
+                                         GrowthCase{"Units", Disturbance::units_change, 1.4}),
                          [](const auto& of) { return of.param.name; });
 
 TEST(ScaleCounts, AreTheSameInEachRun) {
     const auto first = measure(300), second = measure(300);
-    for (const char* count : {"visited_a_choice", "weighed_a_choice", "hashed", "swept_a_call", "probes", "attempts", "module_memory", "functions_held"})
+    for (const char* count : {"visited_a_choice", "weighed_a_choice", "hashed", "swept_a_call", "probes", "attempts",
+                              "module_memory", "functions_held"})
         EXPECT_EQ(first.at(count), second.at(count)) << count;
 }
 
@@ -184,7 +190,8 @@
 // ---------------------------------------------------------------- results
 
 TEST_F(ScaleFiles, ResultsComeBackAsTheyWere) {
-    const ResultsFile written{"a machine", "abc", {{"decisions", "exponent 1.4", "invokers", 7200, 2, "module_memory", "bytes", 15964456}}};
+    const ResultsFile written{
+        "a machine", "abc", {{"decisions", "exponent 1.4", "invokers", 7200, 2, "module_memory", "bytes", 15964456}}};
     const std::string name = file("");
     write_results(name, written);
     const ResultsFile read = read_results(name);
@@ -199,11 +206,13 @@
 
 TEST_F(ScaleFiles, AForeignOrCutOffResultsFileIsRefused) {
     const std::string name = file("");
-    write_results(name, {"m", "c", {{"d", "s", "invokers", 1, 0, "m", "u", 1}, {"d", "s", "invokers", 2, 0, "m", "u", 2}}});
+    write_results(name,
+                  {"m", "c", {{"d", "s", "invokers", 1, 0, "m", "u", 1}, {"d", "s", "invokers", 2, 0, "m", "u", 2}}});
     std::ifstream in(name);
     const std::string whole{std::istreambuf_iterator<char>(in), {}};
     EXPECT_EQ(results_fault(whole), "none");
-    for (std::size_t at = 0; at + 1 < whole.size(); ++at) EXPECT_NE(results_fault(whole.substr(0, at)), "none") << "cut at " << at;
+    for (std::size_t at = 0; at + 1 < whole.size(); ++at)
+        EXPECT_NE(results_fault(whole.substr(0, at)), "none") << "cut at " << at;
     const auto with = [&](const std::string& what, const std::string& by) {
         std::string text = whole;
         return results_fault(text.replace(text.find(what), what.size(), by));
@@ -218,7 +227,8 @@
 TEST(Slopes, OfALineAreFoundWithRangeAndExponent) {
     std::vector<Row> rows;
     for (int run = 0; run < 2; ++run)
-        for (const double size : {10.0, 100.0, 1000.0}) rows.push_back({"e", "s", "invokers", size, run, "m", "u", (run + 2) * size});
+        for (const double size : {10.0, 100.0, 1000.0})
+            rows.push_back({"e", "s", "invokers", size, run, "m", "u", (run + 2) * size});
     rows.push_back({"e", "lonely", "invokers", 10, 0, "m", "u", 1});
     const auto slopes = slopes_of(rows);
     ASSERT_EQ(slopes.size(), 1u) << "one size has no slope";
