--- a/src/dispatch/placement_index.cpp
+++ b/src/dispatch/placement_index.cpp
@@ -16,9 +16,20 @@
 constexpr std::size_t headroom = 4;    // a search finds a quarter more than are needed: the need of a favourite wavers
 constexpr std::size_t generous = 8, spare = 128;  // homes longer than so many times the need, and this, are cut
 
+std::uint64_t upper_bits(std::uint64_t key, std::uint64_t invoker_hash) {
+    return mix(key ^ invoker_hash) >> 11;
+}
+
 // Uniform over (0, 1), from the hash's upper 53 bits. They fit a signed number, which converts faster.
 double uniform(std::uint64_t key, std::uint64_t invoker_hash) {
-    return (static_cast<double>(static_cast<std::int64_t>(mix(key ^ invoker_hash) >> 11)) + 0.5) * 0x1p-53;
+    return (static_cast<double>(static_cast<std::int64_t>(upper_bits(key, invoker_hash))) + 0.5) * 0x1p-53;
+}
+
+// No hash with fewer upper bits has a rank of at most `reach`: -log(u) >= 1 - u. A little less, for what is rounded.
+std::uint64_t least_bits(double reach, double weight) {
+    constexpr double rounded = 16;
+    const double bits = (1 - reach * weight) * 0x1p53 - rounded;
+    return bits > 0 ? static_cast<std::uint64_t>(bits) : 0;
 }
 
 // The rank that about so many of the listed, or a few more, are expected not to pass. Exact for equal weights; where
@@ -134,16 +145,32 @@
     boost::sort::spreadsort::float_sort(homes.first.begin(), homes.first.end(), RankBits{}, earlier);
 }
 
-// All of at most rank `reach`.
+// All of at most rank `reach`. Nearly all are ruled out by one comparison of whole numbers: runs of equal weights,
+// which are long, are looked through in a loop of nothing else.
 void PlacementIndex::collect(std::uint64_t key, Homes& homes) {
     homes.first.clear();
     for (std::size_t i = 0; i < entries_.size(); ++i) {
+        i = skip(key, i, homes.reach);
+        if (i == entries_.size()) break;
         const auto rank = rank_within(key, entries_[i].hash, entries_[i].weight, homes.reach);
         if (rank) homes.first.push_back({*rank, invokers_[i]});
     }
     hashed_ += entries_.size();
 }
 
+// The first entry from `from` on that may have a rank of at most `reach`, or the number of entries.
+std::size_t PlacementIndex::skip(std::uint64_t key, std::size_t from, double reach) const {
+    const Entry* const entries = entries_.data();
+    const std::size_t count = entries_.size();
+    for (std::size_t i = from; i < count;) {
+        const double weight = entries[i].weight;
+        const std::uint64_t least = least_bits(reach, weight);
+        for (; i < count && entries[i].weight == weight; ++i)
+            if (upper_bits(key, entries[i].hash) >= least) return i;
+    }
+    return count;
+}
+
 void PlacementIndex::trim(Homes& homes, std::size_t count) {
     homes.first.resize(2 * count + spare / 4);
     homes.first.shrink_to_fit();
--- a/src/dispatch/placement_index.hpp
+++ b/src/dispatch/placement_index.hpp
@@ -57,6 +57,7 @@
     bool catch_up(std::uint64_t key, Homes& homes);
     void search(std::uint64_t key, Homes& homes, std::size_t count);
     void collect(std::uint64_t key, Homes& homes);
+    std::size_t skip(std::uint64_t key, std::size_t from, double reach) const;
     static void trim(Homes& homes, std::size_t count);
 
     std::vector<Entry> entries_;
