--- a/scale/controller_host.cpp
+++ b/scale/controller_host.cpp
@@ -46,7 +46,6 @@
     invokers_.resize(fleet.shape().invokers);
     listed_.assign(invokers_.size(), true);
     counts_.attempts_to.resize(invokers_.size());
-    counts_.probes_to.resize(invokers_.size());
 }
 
 void ControllerHost::restart_clocks() {
@@ -223,7 +222,6 @@
 
 void ControllerHost::probe(HostedInvoker& invoker) {
     ++counts_.probes;
-    ++counts_.probes_to[invoker.number];
     use_connection(invoker);
     const bool answered = fleet_.answers(invoker.number);
     events_.at(events_.now() + (answered ? round_trip : probe_limit), [this, number = invoker.number, answered] {
--- a/scale/controller_host.hpp
+++ b/scale/controller_host.hpp
@@ -30,8 +30,7 @@
 struct HostCounts {
     std::uint64_t calls{}, served{}, within_target{}, rejected{}, failed{};
     std::uint64_t attempts{}, probes{}, full{}, cold_starts{}, overdue{}, new_connections{};
-    std::vector<std::uint64_t> attempts_to;  // by invoker, as is the next
-    std::vector<std::uint64_t> probes_to;
+    std::vector<std::uint64_t> attempts_to;  // by invoker
     std::chrono::nanoseconds processor{}, worst_turn{};
     std::uint64_t turns{};
     double waited_s{};  // by all served requests together, from call to answer
--- a/scale/platform_run.cpp
+++ b/scale/platform_run.cpp
@@ -164,8 +164,7 @@
           folder_(std::filesystem::temp_directory_path() / fmt::format("plumkeel-scale.{}", ::getpid())),
           discovery_(world_, {"127.0.0.1", discovery_port}),
           invokers_(world_, invoker_port, invoker_run),
-          popularity_(of.functions, of.exponent),
-          random_(of.seed) {
+          popularity_(of.functions, of.exponent) {
         std::filesystem::create_directories(folder_);
     }
     ~PlatformRun() {
@@ -395,7 +394,6 @@
     HollowDiscovery discovery_;
     HollowInvokers invokers_;
     const Popularity popularity_;
-    Pcg random_;
     std::vector<std::unique_ptr<HollowWatcher>> watchers_;
     std::vector<std::unique_ptr<HollowClient>> clients_;
     std::vector<std::unique_ptr<RealController>> controllers_;
--- a/src/dispatch/bookkeeping.cpp
+++ b/src/dispatch/bookkeeping.cpp
@@ -151,6 +151,7 @@
         function->beliefs.erase_if([&](const Belief& b) { return b.invoker == &invoker; });
         functions_.spread.set(*function, function->beliefs.size() > 1);
     }
+    std::erase(no_room_, &invoker);
     fleet_.remove(invoker);
     invoker.known = false;
     results_.released.push_back(&invoker);
--- a/tests/decision_bounds_test.cpp
+++ b/tests/decision_bounds_test.cpp
@@ -76,6 +76,9 @@
             functions_.erase(std::string(function->name));
         }
         next_wake_ = results.next_wake;
+        for (const Invoker* invoker : results.released)
+            if (frees_released_)
+                std::erase_if(fleet_, [&](const std::unique_ptr<Invoker>& it) { return it.get() == invoker; });
         for (Invoker* invoker : results.probed) carry_out(controller_.probe_answered(now_, *invoker, true, {}));
         if (!answers_) return;
         for (Hop* hop : results.started)
@@ -91,7 +94,7 @@
 
     Time now_{};
     Time next_wake_ = Time::max();
-    bool answers_ = true;
+    bool answers_ = true, frees_released_ = false;
     UseCase use_;
     Kind kind_;
     std::vector<std::unique_ptr<Invoker>> fleet_;
@@ -180,6 +183,27 @@
     for (const auto& job : jobs_) EXPECT_EQ(job->state, JobState::honoured);
 }
 
+// It left long ago, and turned away what was still out there a moment before it is let go. Seen by the build with
+// sanitizers.
+TEST_F(DecisionBounds, NothingPointsToAnInvokerThatWasLetGo) {
+    fleet(4);
+    answers_ = false;
+    frees_released_ = true;
+    Job& job = take("f");
+    ASSERT_EQ(job.hops.size(), 1u);
+    Hop& attempt = job.hops.front();
+    carry_out(controller_.fleet_left(now_, {attempt.invoker}));
+    wait(8s);
+    ASSERT_TRUE(attempt.out);
+    ASSERT_EQ(fleet_.size(), 4u) << "an attempt is out there";
+    carry_out(controller_.hop_ended(now_, attempt, Ending::turned_away, Note::none, 0, {}));
+    wait(500ms);
+    ASSERT_EQ(fleet_.size(), 3u) << "it was let go";
+    // Crowds make the module look for a calm invoker, unless one has just had no room.
+    for (int i = 0; i < 300; ++i) take("f");
+    EXPECT_GT(controller_.work().choices, 300u);
+}
+
 TEST_F(DecisionBounds, GoneOnesAreLetGoAndTheRestIsUntouched) {
     fleet(200);
     for (int i = 0; i < 2000; ++i) {
