A client connection that must end answers first what was taken on it

Cause: Visit::leave() drops the requests open on its connection; it was called for bytes that are no FastCGI, where other clients had used the memory for bodies up, and for 256 KiB turned back over the connection's whole life. Change: such a connection is finished: it reads on (so that a close is seen), takes nothing new and leaves after its last answer; memory that others use up turns back only what has not come whole here; bytes turned back are counted since a request was last taken.

--- a/src/fastcgi/visit.cpp
+++ b/src/fastcgi/visit.cpp
@@ -18,9 +18,10 @@
 constexpr std::size_t read_at_once = 8 * 1024;
 constexpr std::size_t pending_most = 64 * 1024;       // of answers: beyond it no further jobs are taken
 constexpr std::size_t refusals_most = 64 * 1024;      // and other short words, while that much is pending: then the connection goes
-constexpr std::size_t thrown_away_most = 256 * 1024;  // of what is not taken: beyond it the connection goes
+constexpr std::size_t thrown_away_most = 256 * 1024;  // of what is not taken, since something was: beyond it the connection goes
 constexpr std::size_t refusal_bytes = 192;            // of one that is an answer, about
 constexpr Time lingering = 200ms, watch_every = 250ms;
+constexpr Time unreadable_pause = 1ms;  // between reads of what can't be understood: a flood of it costs no more
 constexpr std::size_t key_digits = 16;
 
 bool hex_digits(std::string_view text) {
@@ -96,10 +97,7 @@
         const net::Moved moved = co_await stream_->read(net::asio::buffer(room));
         if (moved.error || leaving_) break;
         last_ = world().now();
-        const std::uint64_t records = intake_.records();
-        const bool read = intake_.feed({room.data(), moved.bytes}, *this);
-        if (intake_.records() != records || !intake_.in_record()) stuck_since_ = last_;
-        if (!read) gateway_.admission().count(Objection::malformed);
+        take_in({room.data(), moved.bytes});
         // Answers to open jobs are bounded by how many may be open; refusals to one who reads none are not.
         if (outbox_->pending() <= pending_most) refusals_ = 0;
         if (refusals_ > refusals_most) {
@@ -108,10 +106,7 @@
             stream_->reset();
             break;
         }
-        if (!read || !count_coming() || intake_.thrown_away() > thrown_away_most) {
-            leave();
-            break;
-        }
+        if (unreadable_) co_await world().sleep(unreadable_pause);
     }
     while (!open_.empty()) drop(open_.begin()->first);
     while (leaving_ && !gone_) co_await left_.wait();
@@ -123,6 +118,16 @@
     front_.visit_gone(self);
 }
 
+void Visit::take_in(std::string_view bytes) {
+    if (unreadable_) return;
+    const std::uint64_t records = intake_.records();
+    unreadable_ = !intake_.feed(bytes, *this);
+    if (intake_.records() != records || !intake_.in_record()) stuck_since_ = last_;
+    if (unreadable_) gateway_.admission().count(Objection::malformed);
+    if (!count_coming()) turn_back_unfinished();
+    if (unreadable_ || intake_.thrown_away() - thrown_away_then_ > thrown_away_most) finish();
+}
+
 // What comes is counted at the door until it is a job: many half messages must not get past its bound together.
 bool Visit::count_coming() {
     const std::size_t now = intake_.held();
@@ -132,10 +137,26 @@
     else
         gateway_.admission().let_go(counted_ - now);
     if (full == Objection::none) counted_ = now;
-    else gateway_.admission().count(full);
     return full == Objection::none;
 }
 
+// Others may have used the memory up: only what has not come whole here goes, never a request that is open.
+void Visit::turn_back_unfinished() {
+    for (const std::uint16_t number : intake_.unfinished()) {
+        intake_.forget(number);
+        begun_.erase(number);
+        object(number, Objection::no_memory, true);
+    }
+    gateway_.admission().let_go(std::exchange(counted_, intake_.held()));
+}
+
+// The connection can't be used further, but what was taken on it is owed its answers: it goes after the last of them.
+// Reading goes on until then, so that a client that closes is seen.
+void Visit::finish() {
+    finishing_ = true;
+    if (open_.empty()) leave();
+}
+
 // What still comes is left unread: its sender stops, reads what it was told, and meets the close. A close at once
 // would send a reset for the unread bytes, which may overtake our last answer.
 void Visit::leave() {
@@ -176,6 +197,7 @@
         return answer(message.number, well ? "Status: 200 OK\r\n" : "Status: 503 Closing\r\n", well ? "ok\n" : "closing\n");
     }
     if (objection != Objection::none) return object(message.number, objection, message.keep);
+    if (finishing_) return object(message.number, Objection::too_many_jobs, message.keep);
     // Who reads no answers gets no further jobs in.
     if (open_.size() >= Bounds{}.open || outbox_->pending() > pending_most)
         return object(message.number, Objection::too_many_jobs, message.keep);
@@ -186,6 +208,7 @@
         gateway_.admission().let_go(message.body.size());
         return object(message.number, turned, message.keep);
     }
+    thrown_away_then_ = intake_.thrown_away();
     wanted.held = message.body.size();
     wanted.body = std::move(message.body);
     wanted.place = message.number;
@@ -258,6 +281,7 @@
     if (!open_.count(number)) return;  // its answer has just left
     drop(number);
     refuse(end_records(number, 0, complete, false));
+    if (finishing_ && open_.empty()) leave();
 }
 
 // Its client wants the answer no more.
@@ -324,7 +348,7 @@
     open_.erase(found);
     last_ = world().now();
     last_answer_ = last_answer_ || !keep;
-    if (last_answer_ && open_.empty()) leave();
+    if ((last_answer_ || finishing_) && open_.empty()) leave();
 }
 
 void Visit::begin(const Ward& ward, unsigned status, std::string_view) {
--- a/src/fastcgi/visit.hpp
+++ b/src/fastcgi/visit.hpp
@@ -50,7 +50,10 @@
     bool answering(std::uint16_t number) const override { return open_.count(number) > 0; }
 
     net::Task<> live(std::shared_ptr<Visit> self);
+    void take_in(std::string_view bytes);
     bool count_coming();
+    void turn_back_unfinished();
+    void finish();
     Objection understand(const Message& message, gateway::Wanted& wanted) const;
     void object(std::uint16_t number, Objection objection, bool keep);
     void answer(std::uint16_t number, std::string head, std::string_view body, std::uint8_t protocol_status = complete);
@@ -72,8 +75,11 @@
     net::Signal left_;
     net::Time last_{}, stuck_since_{}, unread_since_{};
     std::size_t sent_then_{}, counted_{};
-    std::size_t refusals_{};  // bytes of short words since less was pending
+    std::size_t refusals_{};          // bytes of short words since less was pending
+    std::size_t thrown_away_then_{};  // when a request was taken last
     bool spoke_{}, last_answer_{}, leaving_{}, gone_{};
+    bool unreadable_{};  // what comes is no FastCGI any more
+    bool finishing_{};   // the connection goes once nothing is open on it
 };
 
 }  // namespace plumkeel::fastcgi
