Failing tests: the wall clock steps, and no network can be reached from here

Cause: start times are reckoned anew from a wall clock that may have stepped, and compared for equality; ENETUNREACH, an error of this machine, counts as an invoker that is gone.

--- a/src/net/memory.cpp
+++ b/src/net/memory.cpp
@@ -152,8 +152,11 @@
 }
 
 Task<World::Connected> MemoryWorld::connect(Address to, Time) {
-    if (const auto failing = failing_.find(to.text()); failing != failing_.end() && failing->second)
-        co_return Connected{failing->second, nullptr};
+    if (const auto failing = failing_.find(to.text()); failing != failing_.end() && failing->second) {
+        const Error error = failing->second;
+        co_await sleep({});
+        co_return Connected{error, nullptr};
+    }
     co_await sleep(2 * latency_);
     const auto found = listeners_.find(to.text());
     if (found == listeners_.end()) co_return Connected{asio::error::connection_refused, nullptr};
--- a/src/net/world.hpp
+++ b/src/net/world.hpp
@@ -90,7 +90,8 @@
     virtual Time now() const = 0;
     virtual Time wall() const = 0;  // since the Unix epoch
     virtual asio::any_io_executor executor() = 0;
-    // Gives up after `limit`, with asio::error::timed_out.
+    // Gives up after `limit`, with asio::error::timed_out. Never ends in the turn in which it was called, also where it
+    // fails at once: whoever starts it puts on the connection what waits for it.
     virtual Task<Connected> connect(Address to, Time limit) = 0;
     virtual Listened listen(const Address& at) = 0;
 
--- a/tests/rare_events_test.cpp
+++ b/tests/rare_events_test.cpp
@@ -77,5 +77,25 @@
     EXPECT_EQ(one.answer(1).body(), Peer::body_for(hex16(1)));
 }
 
+// ---------------------------------------------------------------- the machine's own network fails
+
+// No network can be reached from this machine for a moment: nobody was asked, so no invoker is to blame, and none is
+// taken to have started again when it is over.
+TEST_F(PlatformTest, ANetworkThatCanNotBeReachedFromHereMakesNoInvokerCold) {
+    peer(), peer();
+    open(replaced(plain_config, R"("cold":1000.0)", R"("cold":16000.0)"));
+    const auto fail = [&](net::Error error) {
+        for (const char* each : {"10.0.0.1", "10.0.0.2"}) world.fail_connects({each, 7001}, error);
+    };
+    fail(net::asio::error::network_unreachable);
+    for (std::uint64_t i = 1; i <= 20; ++i) job(10ms * static_cast<int>(i), i, hex16(i));
+    world.at(400ms, [&] { fail({}); });
+    for (std::uint64_t i = 21; i <= 60; ++i) job(1s + 50ms * static_cast<int>(i), i, hex16(i));
+    world.run(2s);
+    for (const auto& row : host->gateway().believed()) EXPECT_FALSE(row.as_object().contains("cold"));
+    world.run(10s);
+    EXPECT_GE(honoured(), 40u);
+}
+
 }  // namespace
 }  // namespace plumkeel::platform
--- /dev/null
+++ b/tests/wall_clock_test.cpp
@@ -0,0 +1,66 @@
+// The wall clock steps while the monotonic clock runs on: what was told in Unix time stays what it was. Virtual time.
+#include "tests/platform_world.hpp"
+
+namespace plumkeel::platform {
+namespace {
+
+struct Step {
+    Time by;
+    bool everywhere;  // the clock that start times are told by steps as well
+};
+
+class WallClockTest : public PlatformTest, public testing::WithParamInterface<Step> {
+protected:
+    // Starts are told in Unix milliseconds; the clock that they are read from may have been stepped too.
+    std::uint64_t unix_ms(Time at) const { return static_cast<std::uint64_t>((day + at + (GetParam().everywhere ? GetParam().by : Time{})) / 1ms); }
+    boost::json::object believed(const char* name) const {
+        for (const auto& row : host->gateway().believed())
+            if (row.at("i").as_string() == name) return row.as_object();
+        return {};
+    }
+    static std::string slow_ramp() {
+        return replaced(replaced(plain_config, R"("cold":1000.0)", R"("cold":16000.0)"), R"("cold_share":0.5)", R"("cold_share":0.1)");
+    }
+    static constexpr Time day = 24h;
+    void SetUp() override { world.step_wall(day); }
+};
+
+// An invoker that starts after the step is cold for as long as the settings say, no shorter and no longer.
+TEST_P(WallClockTest, LeavesTheColdTimeOfALateStarterAsItIs) {
+    peer(), peer();
+    Noticeboard board(world, "10.9.0.1");
+    open(slow_ramp());
+    world.at(5s, [&] { world.step_wall(GetParam().by); });
+    world.at(20s, [&] { board.say(frame(board.last = 2, 2, {{2, "10.0.0.2", 7001, 0, unix_ms(19s)}})); });
+    for (std::uint64_t i = 1; i <= 600; ++i) job(100ms * static_cast<int>(i), i, hex16(i % 40 + 1));
+    world.run(21s);
+    EXPECT_TRUE(believed("s-00000002").contains("cold"));
+    world.run(30s);
+    EXPECT_TRUE(believed("s-00000002").contains("cold"));
+    world.run(45s);
+    EXPECT_FALSE(believed("s-00000002").contains("cold"));
+    world.run(62s);
+}
+
+// The list tells again of an invoker whose start it told before: it has not started anew, and what was learned of it stands.
+TEST_P(WallClockTest, DoesNotMakeAKnownInvokerLookRestarted) {
+    peer(), peer();
+    Noticeboard board(world, "10.9.0.1");
+    const std::string start = std::to_string((day - 60s) / 1ms);
+    open(replaced(plain_config, R"("capacity_hint":5,"boot_ms":0})", R"("capacity_hint":5,"boot_ms":)" + start + "}"));
+    for (std::uint64_t i = 1; i <= 60; ++i) job(100ms * static_cast<int>(i), i, hex16(i % 8 + 1));
+    world.run(5s);
+    ASSERT_TRUE(believed("s-00000001").contains("told"));
+    world.step_wall(GetParam().by);
+    world.at(5001ms, [&] { board.say(frame(board.last = 2, 2, {{1, "10.0.0.1", 7001, 0, static_cast<std::uint64_t>((day - 60s) / 1ms)}})); });
+    world.run(5002ms);
+    EXPECT_TRUE(believed("s-00000001").contains("told"));
+    EXPECT_FALSE(believed("s-00000001").contains("cold"));
+    world.run(8s);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, WallClockTest, testing::Values(Step{1h, false}),
+                         [](const auto& each) { return "Step" + std::to_string(each.index); });
+
+}  // namespace
+}  // namespace plumkeel::platform
