Start times survive a wall clock that steps; ENETUNREACH blames no invoker

Cause: Gateway::fleet_told() worked out a zero from wall() - now() for each event, and Controller::take_up() compared the resulting moments for equality: after a step a known invoker looked restarted and a cold one old, or cold for an hour. ConnectionPool::cause_of() took ENETUNREACH, which connect(2) gives for want of a route here, for an invoker that is gone. Change: a start keeps its moment until the list tells another start time; StartClock keeps the offsets that the wall clock has had and takes the latest moment that is possible. The log tells of a step.

--- a/src/gateway/edges.cpp
+++ b/src/gateway/edges.cpp
@@ -29,7 +29,7 @@
 proof::Cause ConnectionPool::cause_of(const net::Error& error) {
     namespace asio = net::asio;
     for (const net::Error& nobody : {net::Error(asio::error::connection_refused), net::Error(asio::error::timed_out),
-                                     net::Error(asio::error::host_unreachable), net::Error(asio::error::network_unreachable)})
+                                     net::Error(asio::error::host_unreachable)})
         if (error == nobody) return proof::Cause::no_connection;
     return proof::Cause::connection_broke;
 }
--- a/src/gateway/edges.hpp
+++ b/src/gateway/edges.hpp
@@ -117,7 +117,7 @@
 
     void stop(Errand& errand, proof::Cause cause);
     // Why a connection did not come about. Only a refusal and silence say that nobody is there: one reset at once
-    // did come up, and where descriptors or ports are short here, nobody was asked.
+    // did come up, and where descriptors, ports, buffers or a route are short here, nobody was asked (connect(2)).
     static proof::Cause cause_of(const net::Error& error);
     void end(const std::shared_ptr<Errand>& errand, Outcome outcome);
     void end(const std::shared_ptr<Errand>& errand, Ending ending);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -110,6 +110,7 @@
       tenants_(charter_.tenants),
       controller_(start_of(charter_, seed), use_cases_of(charter_), tenants_of(tenants_), std::move(recorded),
                   charter_.trace.reasons) {
+    start_clock_.look(world_.now(), world_.wall());
     if (charter_.metrics.on) meters_ = std::make_unique<metrics::Meters>(charter_.metrics.rules, charter_.name);
 }
 
@@ -251,9 +252,16 @@
     drop_if_closed(ward);
 }
 
+void Gateway::look_at_clocks() {
+    const std::size_t steps = start_clock_.steps();
+    start_clock_.look(world_.now(), world_.wall());
+    if (start_clock_.steps() != steps)
+        log_.line(Log::Level::warn, "wall_clock_stepped", {{"steps", start_clock_.steps()}});
+}
+
 void Gateway::fleet_told(const std::vector<fleet::Entry>& changed, bool complete) {
     std::vector<Invoker*> invokers;
-    const Time zero = world_.wall() - world_.now();
+    look_at_clocks();
     std::size_t left_out = 0;
     for (const fleet::Entry& entry : changed) {
         if (posts_.size() >= charter_.pool.most_invokers && !posts_.count(entry.name)) {
@@ -269,8 +277,12 @@
         post->kind = &kinds_[entry.kind];
         post->cell = entry.cell;
         post->drains_since = entry.ready ? std::nullopt : post->drains_since ? post->drains_since : world_.now();
-        post->started.reset();
-        if (entry.started) post->started = *entry.started - zero;
+        // The same start told again is the same moment, whatever the clocks have done since.
+        if (entry.started != post->told_start) {
+            post->told_start = entry.started;
+            post->started.reset();
+            if (entry.started) post->started = start_clock_.moment_of(*entry.started, world_.now());
+        }
         const auto address = net::Address::parse(entry.address);
         if (post->pool)
             post->pool->move_to(*address);
@@ -328,6 +340,7 @@
         wake_ = world_.at(wake_at_, [this] {
             wake_ = {};
             wake_at_ = Time::max();
+            look_at_clocks();
             feed([](trace::Watched& it, Time now) { return it.wake(now); });
         });
     }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 #include "admission/admission.hpp"
 #include "fleet/follower.hpp"
 #include "gateway/edges.hpp"
+#include "gateway/start_clock.hpp"
 #include "log/log.hpp"
 #include "metrics/meters.hpp"
 #include "net/world.hpp"
@@ -55,6 +56,7 @@
 struct Post : Invoker {
     std::unique_ptr<ConnectionPool> pool;
     std::optional<Time> drains_since;
+    std::optional<Time> told_start;  // since the Unix epoch, as the list told it: by this a restart is known
 };
 
 struct Tally {
@@ -103,6 +105,7 @@
     bool hop_begins(HopErrand& errand, unsigned status, const std::string& passed);
     std::optional<Time> list_told() const { return list_told_ ? list_told_() : std::nullopt; }
 
+    void look_at_clocks();
     void withdraw(Post& post);
     void let_go(Post& post);
     void see_off(std::shared_ptr<Post> post);
@@ -135,6 +138,7 @@
     std::map<std::string, std::unique_ptr<Post>> posts_;
     ConnectionCounts connection_counts_;
     Tally tally_;
+    StartClock start_clock_;
     trace::Watched controller_;
     std::function<std::optional<Time>()> list_told_;
     std::unique_ptr<metrics::Meters> meters_;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -362,7 +362,7 @@
     for (const net::Error& nobody : {net::Error(error::connection_refused), net::Error(error::timed_out), net::Error(error::host_unreachable)})
         EXPECT_EQ(Causes::cause_of(nobody), proof::Cause::no_connection);
     for (const net::Error& here : {net::Error(error::connection_reset), net::Error(error::no_descriptors), net::Error(error::broken_pipe),
-                                   net::Error(error::no_buffer_space), net::Error(error::operation_aborted)}) {
+                                   net::Error(error::no_buffer_space), net::Error(error::operation_aborted), net::Error(error::network_unreachable)}) {
         EXPECT_EQ(Causes::cause_of(here), proof::Cause::connection_broke);
         EXPECT_EQ(proof::ending_of(proof::Reached::nothing_connected, Causes::cause_of(here)), Ending::never_sent);
     }
--- a/tests/wall_clock_test.cpp
+++ b/tests/wall_clock_test.cpp
@@ -59,7 +59,9 @@
     world.run(8s);
 }
 
-INSTANTIATE_TEST_SUITE_P(All, WallClockTest, testing::Values(Step{1h, false}),
+INSTANTIATE_TEST_SUITE_P(All, WallClockTest,
+                         testing::Values(Step{1h, false}, Step{-1h, false}, Step{7s, false}, Step{-7s, false}, Step{1h, true}, Step{-1h, true},
+                                         Step{7s, true}, Step{-7s, true}),
                          [](const auto& each) { return "Step" + std::to_string(each.index); });
 
 }  // namespace
