Failing tests on real processes: failing sends, SIGHUP at the start, a pause

Cause: write_now() reports EINTR, ENOBUFS and ENOMEM as a broken connection, whose answers are then dropped; signals are first caught when the world runs; time left is counted from the reading of a request, not from its coming.

--- a/tests/platform_world.hpp
+++ b/tests/platform_world.hpp
@@ -149,12 +149,14 @@
     Time connected{}, last{}, ended = Time::max();
     std::shared_ptr<net::Stream> stream;
 
-    Client(net::World& w, Time when, std::vector<std::pair<Time, std::string>> texts, bool reads = true) : world(w) {
+    const net::Address front;
+
+    Client(net::World& w, Time when, std::vector<std::pair<Time, std::string>> texts, bool reads = true, net::Address at = {"10.1.0.1", 7001})
+        : world(w), front(std::move(at)) {
         world.spawn(run(when, std::move(texts), reads));
     }
     Task<> run(Time when, std::vector<std::pair<Time, std::string>> texts, bool reads) {
         co_await world.sleep(when - world.now());
-        const net::Address front{"10.1.0.1", 7001};
         auto result = co_await world.connect(front, 1s);
         if (result.error) {
             ended = world.now();
--- /dev/null
+++ b/tests/process_faults_test.cpp
@@ -0,0 +1,132 @@
+// The real program in a process of its own, on loopback sockets, whose system calls fail or which stands still: what it
+// took on it answers all the same. Clients, invoker and list are scripted here.
+#include <csignal>
+
+#include "net/real.hpp"
+#include "stand/faults/fault_plan.hpp"
+#include "stand/faults/process.hpp"
+#include "tests/platform_world.hpp"
+
+namespace plumkeel::platform {
+namespace {
+
+using faults::Call;
+
+class ProcessFaultsTest : public testing::Test {
+protected:
+    ProcessFaultsTest() : plan(testing::TempDir() + "/fault_plan." + std::to_string(::getpid())) {}
+
+    static std::string host(int last) { return fmt::format("127.{}.{}.{}", 64 + (::getpid() >> 8) % 64, ::getpid() & 255, last); }
+    static std::string config() {
+        std::string text = plain_config;
+        for (const auto& [from, to] : std::map<std::string, std::string>{{"10.1.0.1", host(1)}, {"10.9.0.1", host(9)}, {"10.0.0.1", host(11)}, {"10.0.0.2", host(12)}})
+            text = replaced(text, from, to);
+        return text;
+    }
+    void start(const std::string& text) {
+        process.reset();  // its address is free again
+        const std::string file = file_of(text);
+        // As deploy/balancer.toml starts it.
+        process = std::make_unique<faults::Process>(std::vector<std::string>{"/bin/sh", "-c", "trap '' HUP; exec \"$0\" platform", PLUMKEEL_PROGRAM},
+                                                    std::map<std::string, std::string>{{"EDGE_CONFIG", file},
+                                                                                       {"PLUMKEEL_LOG", "error"},
+                                                                                       {"LD_PRELOAD", PLUMKEEL_FAULT_PRELOAD},
+                                                                                       {faults::plan_variable, plan.path()}});
+    }
+    Peer& peer(int last, std::vector<Does> does = {Does::answers}) {
+        return *peers.emplace_back(std::make_unique<Peer>(world, host(last), std::move(does)));
+    }
+    Client& client(Time when, std::vector<std::pair<Time, std::string>> texts) {
+        return *clients.emplace_back(std::make_unique<Client>(world, when, std::move(texts), true, net::Address{host(1), 7001}));
+    }
+    void run(Time until) {
+        world.at(until, [this] { world.stop(); });
+        world.run();
+    }
+
+    faults::PlanFile plan;
+    net::RealWorld world;
+    std::unique_ptr<faults::Process> process;
+    std::vector<std::unique_ptr<Peer>> peers;
+    std::vector<std::unique_ptr<Client>> clients;
+};
+
+// send(2) may be interrupted, and may find no buffers for a moment: neither says that the connection has broken.
+TEST_F(ProcessFaultsTest, ASendThatIsInterruptedOrFindsNoBuffersCostsNoAnswer) {
+    peer(11), peer(12);
+    start(config());
+    std::vector<Client*> all;
+    for (int i = 0; i < 20; ++i) {
+        std::vector<std::pair<Time, std::string>> texts;
+        for (int n = 1; n <= 20; ++n)
+            texts.emplace_back(100ms * n, message(n, job_fields(hex16(static_cast<std::uint64_t>(100 * i + n)), hex16(static_cast<std::uint64_t>(n))), std::string(3000, 'b')));
+        all.push_back(&client(500ms, texts));
+    }
+    world.at(600ms, [&] {
+        plan.fail(Call::send, 50'000, {EINTR, ENOBUFS, ENOMEM});
+        plan.fail(Call::receive, 20'000, {EINTR, ENOMEM});
+        plan.fail(Call::wait, 20'000, {EINTR});
+        plan.cut_short(Call::send, 200'000);
+        plan.cut_short(Call::receive, 200'000);
+    });
+    run(8s);
+    std::size_t answered = 0, served = 0;
+    for (Client* each : all) {
+        const auto got = answers(each->got);
+        ASSERT_TRUE(got);
+        for (int n = 1; n <= 20; ++n) {
+            answered += got->count(n) && got->at(n).times == 1;
+            served += got->count(n) && got->at(n).status() == "200";
+        }
+    }
+    EXPECT_GT(plan.rule(Call::send).failed, 20u);
+    EXPECT_EQ(answered, 400u);
+    EXPECT_GT(served, 380u);
+    EXPECT_FALSE(process->ended());
+}
+
+// A configuration is replaced while the program is still starting: it goes on, and takes the new one up.
+TEST_F(ProcessFaultsTest, ANewConfigurationDuringTheStartDoesNotEndIt) {
+    Noticeboard board(world, host(9)), moved(world, host(10));
+    peer(11), peer(12);
+    for (int i = 0; i < 12; ++i) {
+        start(config());
+        std::this_thread::sleep_for(std::chrono::milliseconds(2 * i + 4));
+        std::ofstream(config_file()) << replaced(config(), host(9), host(10));
+        process->signal(SIGHUP);
+        const std::size_t before = moved.asked.size();
+        const Time until = world.now() + 400ms;
+        run(until);
+        ASSERT_FALSE(process->ended()) << "ended by signal " << process->ended()->code << ", told " << 2 * i + 4 << " ms after its start";
+        EXPECT_GT(moved.asked.size(), before) << "told " << 2 * i + 4 << " ms after its start";
+    }
+}
+
+// The process stands still for a while. A request that stood in its socket for most of its time is not sent on with all
+// of it, and an idle connection on which a request has come meanwhile is not closed.
+TEST_F(ProcessFaultsTest, APauseOfTheProcessCountsForWhatCameMeanwhile) {
+    Peer& a = peer(11);
+    Peer& b = peer(12);
+    start(config());
+    Client& idle = client(500ms, {{0ms, message(1, job_fields(hex16(1), hex16(1)))}, {9s, message(2, job_fields(hex16(2), hex16(1)))}});
+    Client& fresh = client(8s, {{400ms, message(1, job_fields(hex16(3), hex16(1), 2500))}, {1s, message(2, job_fields(hex16(4), hex16(1), 600))}});
+    world.at(6300ms, [&] { process->signal(SIGSTOP); });
+    world.at(10s, [&] { process->signal(SIGCONT); });
+    run(14s);
+    EXPECT_EQ(idle.answer(2).times, 1);
+    EXPECT_EQ(idle.answer(2).status(), "200");
+    EXPECT_EQ(fresh.answer(1).times, 1);
+    EXPECT_EQ(fresh.answer(2).times, 1);
+    EXPECT_EQ(fresh.answer(2).status(), "503");  // its client has left, as far as can be told
+    for (const Peer* each : {&a, &b})
+        for (const std::string& line : each->lines) {
+            const int patience = std::stoi(line.substr(line.find("patience=") + 9));
+            if (line.find(hex16(3)) != std::string::npos) {
+                EXPECT_LE(patience, 900 + 150) << line;
+            }
+            EXPECT_EQ(line.find(hex16(4)), std::string::npos) << line;
+        }
+}
+
+}  // namespace
+}  // namespace plumkeel::platform
