The test of a new configuration at the start is as strict under the deploy file's run

Cause: with SIGHUP ignored by the shell the earlier form passed, since the configuration was read within 2 ms.

--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -1,6 +1,8 @@
 // The real program in a process of its own, on loopback sockets, whose system calls fail or which stands still: what it
 // took on it answers all the same. Clients, invoker and list are scripted here.
 #include <csignal>
+#include <filesystem>
+#include <thread>
 
 #include "net/real.hpp"
 #include "stand/faults/fault_plan.hpp"
@@ -85,20 +87,28 @@
     EXPECT_FALSE(process->ended());
 }
 
-// A configuration is replaced while the program is still starting: it goes on, and takes the new one up.
+// A configuration is replaced while the program is still starting, and while it reads the old one, which is long: it goes
+// on, and takes the new one up.
 TEST_F(ProcessFaultsTest, ANewConfigurationDuringTheStartDoesNotEndIt) {
+    std::string more;
+    for (int i = 3; i < 3000; ++i)
+        more += fmt::format(R"(,{{"uid":"s-{:08x}","endpoint":"127.1.0.1:9","az":"a","model":"k","pod_group":0,"state":"draining","capacity_hint":5,"boot_ms":0}})", i);
+    std::string old = config();
+    old.insert(old.find("]}}]}"), more);
     Noticeboard board(world, host(9)), moved(world, host(10));
     peer(11), peer(12);
     for (int i = 0; i < 12; ++i) {
-        start(config());
-        std::this_thread::sleep_for(std::chrono::milliseconds(2 * i + 4));
-        std::ofstream(config_file()) << replaced(config(), host(9), host(10));
+        start(old);
+        const int after_ms = 6 * i + 4;
+        std::this_thread::sleep_for(std::chrono::milliseconds(after_ms));
+        const std::string fresh = config_file() + ".new";
+        std::ofstream(fresh) << replaced(old, host(9), host(10));
+        std::filesystem::rename(fresh, config_file());
         process->signal(SIGHUP);
         const std::size_t before = moved.asked.size();
-        const Time until = world.now() + 400ms;
-        run(until);
-        ASSERT_FALSE(process->ended()) << "ended by signal " << process->ended()->code << ", told " << 2 * i + 4 << " ms after its start";
-        EXPECT_GT(moved.asked.size(), before) << "told " << 2 * i + 4 << " ms after its start";
+        run(world.now() + 600ms);
+        ASSERT_FALSE(process->ended()) << "ended by signal " << process->ended()->code << ", told " << after_ms << " ms after its start";
+        EXPECT_GT(moved.asked.size(), before) << "told " << after_ms << " ms after its start";
     }
 }
 
