Failing sends, a signal at the start and a pause of the process cost no request

Cause: SocketStream::write_now() reported EINTR, ENOBUFS and ENOMEM of send(2) as a broken connection, and the Outbox then dropped its answers; SIGHUP was first caught when the world ran; after a pause timers ran before what had come was read, attempts were put on connections before the ends of their clients were read, and time left was counted from the reading. SIGPIPE is ignored.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -83,6 +83,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);  // whoever reads our log or output may go before us
     CLI::App app("plumkeel: a gateway that runs jobs on invokers which load functions on demand");
     app.require_subcommand(1);
     std::string file, at = "127.0.0.1:7400";
--- a/src/fastcgi/records.cpp
+++ b/src/fastcgi/records.cpp
@@ -52,6 +52,7 @@
             const std::size_t wanted = std::min(head_bytes - head_.size(), bytes.size());
             head_.append(bytes.substr(0, wanted));
             bytes.remove_prefix(wanted);
+            ahead_ = bytes.size();
             if (head_.size() < head_bytes) return true;
             if (!head_whole(told)) return false;
             if (left_ == 0) record_whole(told);
@@ -61,6 +62,7 @@
         if (of_content > 0) content(bytes.substr(0, of_content), told);
         const std::size_t used = std::min(left_, of_content > 0 ? of_content : bytes.size());
         bytes.remove_prefix(used);
+        ahead_ = bytes.size();
         left_ -= used;
         if (left_ == 0) record_whole(told);
     }
--- a/src/fastcgi/records.hpp
+++ b/src/fastcgi/records.hpp
@@ -63,6 +63,7 @@
     bool in_record() const { return head_.size() > 0 || left_ > 0; }
     bool midway() const { return in_record() || !coming_.empty(); }
     std::uint64_t records() const { return records_; }
+    std::size_t ahead() const { return ahead_; }  // bytes behind those that a call of Told is about, of the same feed()
     // The numbers of the messages that have begun and are not whole.
     std::vector<std::uint16_t> unfinished() const;
     std::size_t thrown_away() const { return thrown_away_; }  // bytes of what is not taken, over its life
@@ -90,6 +91,7 @@
     std::map<std::uint16_t, Coming> coming_;
     std::size_t thrown_away_{}, held_{};
     std::uint64_t records_{};
+    std::size_t ahead_{};
 };
 
 // Name and value pairs; nothing where the text is malformed.
--- a/src/fastcgi/visit.cpp
+++ b/src/fastcgi/visit.cpp
@@ -118,6 +118,13 @@
     front_.visit_gone(self);
 }
 
+// How long the message that is whole now may have stood in its socket. If it is the last that came, the machine knows.
+Time Visit::waited_unread() {
+    const Time most = gateway_.waited_unread();
+    if (most <= Time{} || intake_.ahead() > 0 || stream_->unread()) return most;
+    return std::min(most, stream_->since_newest_bytes().value_or(most));
+}
+
 void Visit::take_in(std::string_view bytes) {
     if (unreadable_) return;
     const std::uint64_t records = intake_.records();
@@ -209,6 +216,7 @@
         return object(message.number, turned, message.keep);
     }
     thrown_away_then_ = intake_.thrown_away();
+    wanted.waited = waited_unread();
     wanted.held = message.body.size();
     wanted.body = std::move(message.body);
     wanted.place = message.number;
--- a/src/fastcgi/visit.hpp
+++ b/src/fastcgi/visit.hpp
@@ -50,6 +50,7 @@
     bool answering(std::uint16_t number) const override { return open_.count(number) > 0; }
 
     net::Task<> live(std::shared_ptr<Visit> self);
+    Time waited_unread();
     void take_in(std::string_view bytes);
     bool count_coming();
     void turn_back_unfinished();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -11,6 +11,9 @@
 
 using namespace std::chrono_literals;
 
+// While requests are open this thread has something due so often: by how late it comes a pause of the process is noticed.
+constexpr Time pulse_every = 40ms, stood_still = 30ms;
+
 class HopErrand : public Errand {
 public:
     HopErrand(Gateway& gateway, Ward& of, Hop& as) : Errand(Kind::hop), gateway_(gateway), ward(of), hop(as) {
@@ -116,6 +119,7 @@
 
 Gateway::~Gateway() {
     world_.drop(look_);
+    world_.drop(pulse_);
 }
 
 void Gateway::begin() {
@@ -157,7 +161,7 @@
     ward.id = ++ids_;
     ward.use_case = wanted.use_case;
     ward.function = function.get();
-    ward.time_left = wanted.left;
+    ward.time_left = std::max(Time{}, wanted.left - wanted.waited);
     ward.again = wanted.again;
     if (const auto tenant = tenants_.find(wanted.tenant); tenant != tenants_.end()) {
         ward.tenant = &tenant->second;
@@ -176,11 +180,24 @@
     ++tally_.taken;
     if (meters_) meters_->job_taken(wanted.again);
 
+    if (!pulse_.second) pulse();
     feed([&](trace::Watched& it, Time now) { return it.take(now, ward); });
     const auto still = jobs_.find(ids_);
     return still == jobs_.end() || ward.answered() ? nullptr : &ward;
 }
 
+// How long what is read now may have stood in its socket. Its client's time has run since it came.
+Time Gateway::waited_unread() const {
+    const Time late = world_.late();
+    return late > stood_still ? late + pulse_every : Time{};
+}
+
+void Gateway::pulse() {
+    pulse_ = {};
+    if (admission_.open_jobs() == 0) return;
+    pulse_ = world_.at(world_.now() + pulse_every, [this] { pulse(); });
+}
+
 void Gateway::client_left(Ward& ward) {
     ward.visit = nullptr;
     feed([&](trace::Watched& it, Time now) { return it.client_left(now, ward); });
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -29,7 +29,8 @@
     std::string name;         // the job's, with its client; empty where the protocol has none
     std::uint64_t place{};    // by which its visit knows it
     std::string function, tenant, mark, passed;  // `passed`: the fields that go on to the invoker
-    Time left{};
+    Time left{};    // when it came
+    Time waited{};  // since then, unread
     int lanes = 1;
     std::optional<int> memory;
     std::optional<Time> told_load;
@@ -77,6 +78,8 @@
     // For the clients' edge. Null: the job is answered already.
     Ward* take(Wanted wanted, std::shared_ptr<Visit> visit);
     void client_left(Ward& ward);
+    // How long what an edge reads now may have stood in its socket at the most: above 0 after a pause of the process.
+    Time waited_unread() const;
     // For the edge that follows the list; with `complete`, all others are gone.
     void fleet_told(const std::vector<fleet::Entry>& changed, bool complete);
     void fleet_gone(const std::vector<std::string>& names);
@@ -106,6 +109,7 @@
     std::optional<Time> list_told() const { return list_told_ ? list_told_() : std::nullopt; }
 
     void look_at_clocks();
+    void pulse();
     void withdraw(Post& post);
     void let_go(Post& post);
     void see_off(std::shared_ptr<Post> post);
@@ -143,7 +147,7 @@
     std::function<std::optional<Time>()> list_told_;
     std::unique_ptr<metrics::Meters> meters_;
     std::function<void(metrics::Levels&)> measure_also_;
-    net::World::Ticket look_{};
+    net::World::Ticket look_{}, pulse_{};
     Time look_at_{};
     std::uint64_t looks_{};
     std::uint64_t ids_{};
--- a/src/net/real.cpp
+++ b/src/net/real.cpp
@@ -10,6 +10,8 @@
 #include <fstream>
 #include <iterator>
 #include <sstream>
+#include <csignal>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -20,32 +22,54 @@
 using asio::ip::tcp;
 constexpr auto told = asio::as_tuple(asio::use_awaitable);
 
+constexpr auto shortage_pause = std::chrono::milliseconds(1);
+constexpr Time stood_still = std::chrono::milliseconds(30);  // so late, timers run only after what has come was read
+constexpr int input_rounds = 16;                             // turns given to reading then
+
+// The kernel has no memory for the call now (send(2), recv(2)): the connection is as it was.
+bool short_of_memory(const Error& error) {
+    return error == asio::error::no_buffer_space || error == asio::error::no_memory;
+}
+
 bool readable(int descriptor) {
     pollfd look{descriptor, POLLIN, 0};
-    return ::poll(&look, 1, 0) > 0 && (look.revents & POLLIN);
+    int ready = 0;
+    do ready = ::poll(&look, 1, 0);
+    while (ready < 0 && errno == EINTR);
+    return ready > 0 && (look.revents & POLLIN);
 }
 
 class SocketStream : public Stream {
 public:
-    explicit SocketStream(tcp::socket socket) : socket_(std::move(socket)) {
+    explicit SocketStream(tcp::socket socket) : socket_(std::move(socket)), pause_(socket_.get_executor()) {
         Error ignored;
         socket_.set_option(tcp::no_delay(true), ignored);
         socket_.non_blocking(true, ignored);
     }
 
     Task<Moved> read(asio::mutable_buffer into) override {
-        const auto [error, bytes] = co_await socket_.async_read_some(into, told);
-        co_return Moved{error, bytes};
+        for (;;) {
+            const auto [error, bytes] = co_await socket_.async_read_some(into, told);
+            if (!short_of_memory(error)) co_return Moved{error, bytes};
+            asio::steady_timer pause(socket_.get_executor(), shortage_pause);
+            co_await pause.async_wait(told);
+        }
     }
 
     Moved write_now(std::span<const asio::const_buffer> from) override {
         Moved moved;
-        moved.bytes = socket_.write_some(from, moved.error);
-        if (moved.error == asio::error::would_block || moved.error == asio::error::try_again) moved.error = {};
+        do moved.bytes = socket_.write_some(from, moved.error);
+        while (moved.error == asio::error::interrupted);
+        short_ = short_of_memory(moved.error);
+        if (short_ || moved.error == asio::error::would_block || moved.error == asio::error::try_again) moved.error = {};
         return moved;
     }
 
     Task<Error> writable() override {
+        if (std::exchange(short_, false)) {  // the socket has room: waiting for it would not wait
+            pause_.expires_after(shortage_pause);
+            co_await pause_.async_wait(told);
+        }
         const auto [error] = co_await socket_.async_wait(tcp::socket::wait_write, told);
         co_return error;
     }
@@ -58,6 +82,14 @@
 
     bool unread() override { return socket_.is_open() && readable(socket_.native_handle()); }
 
+    // tcp(7): TCP_INFO, in milliseconds of the kernel's own monotonic clock.
+    std::optional<Time> since_newest_bytes() override {
+        tcp_info info{};
+        socklen_t size = sizeof info;
+        if (::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return {};
+        return std::chrono::milliseconds(info.tcpi_last_data_recv);
+    }
+
     void end_sending() override {
         Error ignored;
         socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -76,6 +108,8 @@
 
 private:
     tcp::socket socket_;
+    asio::steady_timer pause_;
+    bool short_{};  // the last write found no memory
 };
 
 class SocketListener : public Listener {
@@ -167,23 +201,37 @@
     timer_.expires_at(start_ + when);
     timer_.async_wait([this](Error error) {
         if (error) return;  // armed anew for something earlier
-        if (const Time next = run_due(now()); next != Time::max()) arm(next);
+        run_due_after(late() > stood_still ? input_rounds : 0);
     });
 }
 
+// Where this thread stood still, much may have come that makes what is due untrue: a request on a connection that would
+// be closed as idle, an answer to what would count as silent, the end of a client.
+void RealWorld::run_due_after(int rounds) {
+    if (rounds > 0) {
+        asio::post(context_, [this, rounds] { run_due_after(rounds - 1); });
+        return;
+    }
+    if (const Time next = run_due(now()); next != Time::max()) arm(next);
+}
+
 void RealWorld::on_end_signal(std::function<void()> what) {
-    spawn(watch_signals({SIGTERM, SIGINT}, std::move(what)));
+    on_signals({SIGTERM, SIGINT}, std::move(what));
 }
 
 void RealWorld::on_signal(int number, std::function<void()> what) {
-    spawn(watch_signals({number}, std::move(what)));
+    on_signals({number}, std::move(what));
+}
+
+void RealWorld::on_signals(const std::vector<int>& numbers, std::function<void()> what) {
+    auto signals = std::make_unique<asio::signal_set>(context_);
+    for (const int each : numbers) signals->add(each);
+    spawn(watch_signals(std::move(signals), std::move(what)));
 }
 
-Task<> RealWorld::watch_signals(std::vector<int> numbers, std::function<void()> what) {
-    asio::signal_set signals(context_);
-    for (const int each : numbers) signals.add(each);
+Task<> RealWorld::watch_signals(std::unique_ptr<asio::signal_set> signals, std::function<void()> what) {
     for (;;) {
-        const auto [error, number] = co_await signals.async_wait(told);
+        const auto [error, number] = co_await signals->async_wait(told);
         if (error) co_return;
         what();
     }
@@ -206,6 +254,22 @@
     what(std::nullopt);
 }
 
+SignalHold::SignalHold(std::initializer_list<int> numbers) {
+    sigset_t held;
+    ::sigemptyset(&held);
+    for (const int each : numbers) ::sigaddset(&held, each);
+    ::pthread_sigmask(SIG_BLOCK, &held, &before_);
+}
+
+SignalHold::~SignalHold() {
+    release();
+}
+
+void SignalHold::release() {
+    if (std::exchange(released_, true)) return;
+    ::pthread_sigmask(SIG_SETMASK, &before_, nullptr);
+}
+
 std::string holder_of(std::uint16_t port) {
     namespace fs = std::filesystem;
     std::string inode;
--- a/src/net/real.hpp
+++ b/src/net/real.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
 #include <functional>
 #include <string>
 #include <vector>
@@ -30,14 +32,32 @@
 
 private:
     void arm(Time when) override;
+    void run_due_after(int rounds);
     Task<> read_input(std::function<void(std::optional<std::string>)> what);
-    Task<> watch_signals(std::vector<int> numbers, std::function<void()> what);
+    // From here on the signals are caught; `what` is called once the world runs.
+    void on_signals(const std::vector<int>& numbers, std::function<void()> what);
+    Task<> watch_signals(std::unique_ptr<asio::signal_set> signals, std::function<void()> what);
 
     asio::io_context context_{1};
     asio::steady_timer timer_{context_};
     const std::chrono::steady_clock::time_point start_;
 };
 
+// Keeps signals pending, in this thread and those that it starts, until somebody catches them: one that comes while a
+// program starts would end it, or be lost.
+class SignalHold {
+public:
+    explicit SignalHold(std::initializer_list<int> numbers);
+    ~SignalHold();
+    SignalHold(const SignalHold&) = delete;
+    SignalHold& operator=(const SignalHold&) = delete;
+    void release();
+
+private:
+    sigset_t before_{};
+    bool released_{};
+};
+
 // Which process listens on the port: "pid 123 (plumkeel)", or empty where that can't be seen.
 std::string holder_of(std::uint16_t port);
 
--- a/src/net/world.hpp
+++ b/src/net/world.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -55,6 +56,8 @@
     virtual bool ended() = 0;
     // Whether bytes or the peer's end have come and are not read yet.
     virtual bool unread() = 0;
+    // How long ago the newest bytes came in, as the machine tells; empty where it does not.
+    virtual std::optional<Time> since_newest_bytes() { return {}; }
     virtual void end_sending() = 0;
     virtual void close() = 0;  // whoever waits on it is told operation_aborted
     virtual void reset() = 0;  // closes so that the peer sees a reset
@@ -99,6 +102,9 @@
     Ticket at(Time when, std::function<void()> what);
     void drop(Ticket& ticket);
     Task<> sleep(Time span);
+    // How long something due has been waiting to run: for so long, or longer, this thread has done nothing else, and what
+    // comes in now may have come as early.
+    Time late() const { return due_.empty() ? Time{} : std::max(Time{}, now() - due_.begin()->first.first); }
     // Starts a coroutine. What it throws ends the program: nothing above is meant to throw there.
     void spawn(Task<> task);
 
--- a/src/platform/platform.cpp
+++ b/src/platform/platform.cpp
@@ -14,6 +14,8 @@
 namespace plumkeel::platform {
 
 int serve(const std::string& file, const std::string& log_level) {
+    // A signal that comes before the world runs is acted upon then: it neither ends the process nor is lost.
+    net::SignalHold start({SIGHUP, SIGTERM, SIGINT});
     Config config = read_config(file);
     config.charter.log.level = log_level;
     if (log_level == "debug") {
@@ -36,6 +38,7 @@
     });
     world.on_signal(SIGTERM, [&] { host.end([&] { world.stop(); }); });
     world.on_signal(SIGINT, [&] { host.end([&] { world.stop(); }); });
+    start.release();
     world.run();
     return 0;
 }
--- a/src/runline/pool.cpp
+++ b/src/runline/pool.cpp
@@ -14,6 +14,7 @@
 using proof::Reached;
 
 constexpr std::size_t read_at_once = 8 * 1024, line_most = 1024;
+constexpr Time stood_still = 30ms;  // later than that, this thread did not run
 
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
@@ -116,6 +117,8 @@
     // Writes what waits, oldest first, but no more than one hop ahead of what the socket takes: a hop that waits here
     // can still be taken back, when its client leaves or its invoker drains.
     void put_on() {
+        // What is known of clients, drains and this connection itself is old while what came meanwhile is not read.
+        if (world_.late() > stood_still) return put_on_soon();
         for (std::size_t i = 0; i < out_.size() && alive_; ++i) {
             if (out_[i].whole_at != unwritten) continue;
             if (!out_[i].errand->light() && outbox_->pending() > 0) continue;
@@ -127,6 +130,14 @@
         world_.spawn(put_later(shared_from_this()));
     }
 
+    void put_on_soon() {
+        if (std::exchange(put_on_due_, true)) return;
+        world_.at(world_.now(), [self = shared_from_this()] {
+            self->put_on_due_ = false;
+            if (self->alive_) self->put_on();
+        });
+    }
+
     net::Task<> put_later(std::shared_ptr<Connection>) {
         co_await outbox_->below(0);
         putting_ = false;
@@ -255,7 +266,7 @@
 
     ConnectionPool& pool_;
     net::World& world_;
-    bool alive_ = true, retired_{}, counted_ = true, putting_{};
+    bool alive_ = true, retired_{}, counted_ = true, putting_{}, put_on_due_{};
     std::shared_ptr<net::Stream> stream_;
     std::shared_ptr<net::Outbox> outbox_;  // once connected
     std::vector<Placed> out_;
--- a/src/web/visit.cpp
+++ b/src/web/visit.cpp
@@ -98,6 +98,7 @@
     }
     wanted.body = std::move(parser.get().body());
     wanted.held = held.hand_on();
+    wanted.waited = gateway_.waited_unread();
     ward_ = gateway_.take(std::move(wanted), shared_from_this());
     co_return co_await await_answer();
 }
