An attempt leaves whole within 90 ms or never ran; a late second answer proves nothing

Cause: Connection::put() queued what a full socket did not take, without a bound on how long it stood there half; answers were matched by the request's id alone. Change: an attempt of which no byte can leave is not put on; one that leaves in part ends its connection unless it is whole within 90 ms (the terms allow 0.1 s after the client's end and 0.15 s of time left). A request that may run but once does not leave twice on one connection, which makes way where there may be no more; for others an answer after a repeat is followed by STOP.

--- a/src/net/outbox.cpp
+++ b/src/net/outbox.cpp
@@ -37,6 +37,45 @@
     }
 }
 
+bool Outbox::send_if_room(std::string head, Text body, std::string tail) {
+    if (broken_) return true;
+    if (!queue_.empty() || pumping_) return false;
+    const std::array<asio::const_buffer, 3> whole{asio::buffer(head), body ? asio::buffer(*body) : asio::const_buffer(), asio::buffer(tail)};
+    const Moved moved = stream_->write_now(whole);
+    if (moved.error) {
+        broken_ = moved.error;
+        return true;
+    }
+    if (moved.bytes == 0) return false;
+    sent_ += moved.bytes;
+    std::size_t out = moved.bytes;
+    const auto keep = [&](Text text) {
+        const std::size_t of_it = std::min(out, text->size());
+        out -= of_it;
+        if (of_it == text->size()) return;
+        if (queue_.empty()) offset_ = of_it;
+        pending_ += text->size() - of_it;
+        queue_.push_back(std::move(text));
+    };
+    keep(std::make_shared<const std::string>(std::move(head)));
+    if (body) keep(std::move(body));
+    keep(std::make_shared<const std::string>(std::move(tail)));
+    if (!queue_.empty()) {
+        pumping_ = true;
+        world_.spawn(pump(shared_from_this()));
+    }
+    return true;
+}
+
+Task<> Outbox::writable() {
+    if (broken_) co_return;
+    if (pending_ > 0) co_return co_await below(0);
+    if (const Error error = co_await stream_->writable(); error && !broken_) {
+        broken_ = error;
+        abandon();
+    }
+}
+
 void Outbox::flush() {
     while (!queue_.empty() && !broken_) {
         std::array<asio::const_buffer, 8> parts;
--- a/src/net/outbox.hpp
+++ b/src/net/outbox.hpp
@@ -17,6 +17,11 @@
 
     Outbox(World& world, std::shared_ptr<Stream> stream);
     void send(std::string head, Text body = {});
+    // The same for what must not wait here: false, and nothing is kept, where no byte of it can leave now. With a byte
+    // out the rest follows, as with send().
+    bool send_if_room(std::string head, Text body, std::string tail);
+    // Waits until something may fit, or the stream has broken.
+    Task<> writable();
     // Waits until at most `bytes` are pending, or the stream has broken.
     Task<> below(std::size_t bytes);
 
--- a/src/runline/pool.cpp
+++ b/src/runline/pool.cpp
@@ -15,6 +15,8 @@
 
 constexpr std::size_t read_at_once = 8 * 1024, line_most = 1024;
 constexpr Time stood_still = 30ms;  // later than that, this thread did not run
+constexpr Time half_sent_for = 90ms;  // a client is gone for 0.1 s at most, and time left overstated by 0.15 s, when an attempt begins
+constexpr std::size_t most_borne = 256;  // remembered of a connection: resends follow within seconds
 
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
@@ -24,7 +26,10 @@
           idle_(pool.world_, [this] {
               if (out_.empty()) close();
           }),
-          half_(pool.world_, [this] { spoilt("half_an_answer"); }) {
+          half_(pool.world_, [this] { spoilt("half_an_answer"); }),
+          half_sent_(pool.world_, [this] {
+              if (outbox_ && outbox_->sent() < whole_at_) spoilt("half_an_attempt");
+          }) {
         ++pool_.budget_.open_;
     }
 
@@ -53,6 +58,7 @@
             return outbox_ ? Reached::not_written : Reached::nothing_connected;
         }
         if (outbox_->broken() && outbox_->sent() < placed.whole_at) return Reached::not_written;
+        if (!errand.light()) bore(placed.id);
         if (!errand.light()) outbox_->send(stop(placed.id));
         // Nothing at all heard for the whole of a probe's time: this connection is of no use, whatever the invoker is.
         if (errand.light() && cause == Cause::time_ran_out && heard_ <= placed.since) spoilt("silent");
@@ -65,6 +71,7 @@
         alive_ = false;
         idle_.clear();
         half_.clear();
+        half_sent_.clear();
         pool_.budget_.busy(*this);
         if (stream_) {
             stream_->close();
@@ -88,6 +95,9 @@
     std::size_t hops() const {
         return static_cast<std::size_t>(std::count_if(out_.begin(), out_.end(), [](const Placed& p) { return !p.errand->light(); }));
     }
+    // Whether an attempt of the request has been on this connection and ended: what else it says of that request may be
+    // said of that attempt.
+    bool has_borne(std::string_view id) const { return std::find(borne_.begin(), borne_.end(), id) != borne_.end(); }
     // What has not begun to leave, taken off: it goes elsewhere.
     void give_back(std::vector<std::shared_ptr<Errand>>& into) {
         std::erase_if(out_, [&](const Placed& placed) {
@@ -112,6 +122,7 @@
         std::shared_ptr<Errand> errand;
         std::size_t whole_at;  // bytes of the connection by which all of it has left
         net::Time since;
+        bool again{};  // an earlier attempt of the request was on this connection
     };
 
     // Writes what waits, oldest first, but no more than one hop ahead of what the socket takes: a hop that waits here
@@ -119,13 +130,14 @@
     void put_on() {
         // What is known of clients, drains and this connection itself is old while what came meanwhile is not read.
         if (world_.late() > stood_still) return put_on_soon();
+        full_ = false;
         for (std::size_t i = 0; i < out_.size() && alive_; ++i) {
             if (out_[i].whole_at != unwritten) continue;
-            if (!out_[i].errand->light() && outbox_->pending() > 0) continue;
+            if (!out_[i].errand->light() && (full_ || outbox_->pending() > 0)) continue;
             put(out_[i]);
         }
         const auto waits = [](const Placed& p) { return p.whole_at == unwritten; };
-        if (!alive_ || putting_ || outbox_->pending() == 0 || std::none_of(out_.begin(), out_.end(), waits)) return;
+        if (!alive_ || putting_ || (outbox_->pending() == 0 && !full_) || std::none_of(out_.begin(), out_.end(), waits)) return;
         putting_ = true;
         world_.spawn(put_later(shared_from_this()));
     }
@@ -139,7 +151,7 @@
     }
 
     net::Task<> put_later(std::shared_ptr<Connection>) {
-        co_await outbox_->below(0);
+        co_await outbox_->writable();
         putting_ = false;
         if (alive_ && !outbox_->broken()) put_on();
     }
@@ -148,22 +160,37 @@
         const Errand& errand = *placed.errand;
         // An invoker can't use a hop without time. Its own limit ends it at this very moment, as never sent.
         if (!errand.light() && errand.until - world_.now() < 1ms) return;
-        ConnectionPool::set_state(*placed.errand, Errand::State::out);
-        placed.since = world_.now();
         // Counted ahead: a connection that breaks under the write has not taken it.
         const std::size_t before = outbox_->sent() + outbox_->pending();
         if (errand.light()) {
             std::string text = probe(placed.id, !pool_.sight_.report_fields.empty());
             placed.whole_at = before + text.size();
             outbox_->send(std::move(text));
-        } else {
-            const gateway::Ward& ward = *errand.ward;
-            std::string head = run(placed.id, static_cast<const StatedUseCase*>(ward.use_case)->name, ward.function->name, ward.mark,
-                                   (errand.until - world_.now()) / 1ms, ward.body->size());
-            placed.whole_at = before + head.size() + ward.body->size() + body_end.size();
-            outbox_->send(std::move(head), ward.body);
-            outbox_->send(std::string(body_end));
+        } else if (!put_attempt(placed, before)) {
+            return;
         }
+        ConnectionPool::set_state(*placed.errand, Errand::State::out);
+        placed.since = world_.now();
+    }
+
+    // False: no byte of it could leave. One that leaves in part has to be whole soon: it tells the time left of now, and
+    // its client may go. Else the connection ends, and it never ran.
+    bool put_attempt(Placed& placed, std::size_t before) {
+        const gateway::Ward& ward = *placed.errand->ward;
+        std::string head = run(placed.id, static_cast<const StatedUseCase*>(ward.use_case)->name, ward.function->name, ward.mark,
+                               (placed.errand->until - world_.now()) / 1ms, ward.body->size());
+        const std::size_t whole_at = before + head.size() + ward.body->size() + body_end.size();
+        full_ = !outbox_->send_if_room(std::move(head), ward.body, std::string(body_end));
+        if (full_) return false;
+        placed.whole_at = whole_at_ = whole_at;
+        placed.again = has_borne(placed.id);
+        if (outbox_->pending() > 0) half_sent_.set(world_.now() + half_sent_for);
+        return true;
+    }
+
+    void bore(const std::string& id) {
+        borne_.push_back(id);
+        if (borne_.size() > most_borne) borne_.pop_front();
     }
 
     net::Task<> live(std::shared_ptr<Connection> self, net::Address address) {
@@ -227,10 +254,14 @@
             return;
         }
         const auto errand = it->errand;
+        const bool again = it->again;
         const bool of_probe = answer.word == "well" || answer.word == "ill";
         if (errand->light() != of_probe) return spoilt("wrong_word");
+        if (!of_probe) bore(it->id);
         out_.erase(it);
         ConnectionPool::carrier(*errand).reset();
+        // It may be a second one to the earlier attempt: what runs under the id is given up, so that nothing else does.
+        if (again) outbox_->send(stop(answer.id));
         gateway::Outcome outcome;
         outcome.ending = of_probe ? (answer.word == "well" ? Ending::honoured : Ending::errored) : ending_of(answer.word);
         outcome.note = note_of(answer.fields);
@@ -267,11 +298,14 @@
     ConnectionPool& pool_;
     net::World& world_;
     bool alive_ = true, retired_{}, counted_ = true, putting_{}, put_on_due_{};
+    bool full_{};             // the last attempt found no room for a byte
+    std::size_t whole_at_{};  // of the last attempt that was put on
+    std::deque<std::string> borne_;  // requests of which an attempt has ended here, the newest last
     std::shared_ptr<net::Stream> stream_;
     std::shared_ptr<net::Outbox> outbox_;  // once connected
     std::vector<Placed> out_;
     net::Time heard_{};
-    net::Limit idle_, half_;
+    net::Limit idle_, half_, half_sent_;
 };
 
 // ---------------------------------------------------------------- the pool
@@ -331,10 +365,16 @@
     return errand.light() ? "p" + std::to_string(++tags_) : errand.ward->name;
 }
 
+// Whether a repeat of what has run, or may have, would take effect again.
+static bool may_run_once(const Errand& errand) {
+    return errand.ward->use_case->repeat != Repeat::replayable;
+}
+
 // The connection that bears least, or a new one while there may be more. A probe asks the one that has been silent
 // longest while something is out on it: it is the one in doubt.
 std::shared_ptr<Connection> ConnectionPool::choose(const Errand& errand) {
     std::shared_ptr<Connection> best;
+    std::shared_ptr<Connection> borne;  // that bore the request before, which may run but once
     std::size_t takers = 0;  // what only waits for its last answers, at an earlier address, stands in nobody's way
     for (const auto& connection : connections_) {
         if (!connection->takes()) continue;
@@ -344,8 +384,18 @@
             continue;
         }
         if (connection->load() >= rules_.hops_a_connection || connection->bears(errand.ward->name)) continue;
+        if (may_run_once(errand) && connection->has_borne(errand.ward->name)) {
+            borne = connection;
+            continue;
+        }
         if (!best || connection->load() < best->load()) best = connection;
     }
+    // A second answer to the earlier attempt could not be told from one to this: it leaves on another connection, for
+    // which that one makes way if there may be no more.
+    if (borne && !best && takers >= rules_.most) {
+        borne->retire();
+        --takers;
+    }
     const bool room = budget_.open() < rules_.most_all;
     const bool new_one = !best || (!errand.light() && best->load() > 0);
     if (new_one && takers < rules_.most && (room || (takers == 0 && budget_.evict()))) {
