Failing tests: accepts that fail, idle connections that have ended, connecting in one turn

Cause: Front::accept() takes every error for want of descriptors and ends an idle client; an idle connection to an invoker is used though its end has come; RealWorld::connect() may return before its caller has put anything on the connection.

--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -87,6 +87,27 @@
     EXPECT_FALSE(process->ended());
 }
 
+// accept(2) fails now and then, though there are descriptors: no idle client has to go for it, and who comes is served soon.
+TEST_F(ProcessFaultsTest, AnAcceptThatFailsEndsNoIdleConnection) {
+    peer(11), peer(12);
+    start(config());
+    std::vector<Client*> idle, fresh;
+    for (std::uint64_t i = 1; i <= 10; ++i) idle.push_back(&client(500ms, {{0ms, message(1, job_fields(hex16(i), hex16(i)))}}));
+    world.at(900ms, [&] { plan.fail(Call::accept, 500'000, {ENFILE, ENOBUFS, ENOMEM, ECONNABORTED}); });
+    for (std::uint64_t i = 11; i <= 50; ++i)
+        fresh.push_back(&client(1s + 50ms * static_cast<int>(i - 10), {{0ms, message(1, job_fields(hex16(i), hex16(i)))}}));
+    run(4500ms);
+    EXPECT_GT(plan.rule(Call::accept).failed, 10u);
+    for (Client* each : idle) {
+        EXPECT_EQ(each->answer(1).status(), "200");
+        EXPECT_EQ(each->ended, Time::max()) << "closed after " << (each->ended - each->last) / 1ms << " ms";
+    }
+    for (Client* each : fresh) {
+        EXPECT_EQ(each->answer(1).status(), "200");
+        EXPECT_LT(each->last - each->connected, 1s);
+    }
+}
+
 // A configuration is replaced while the program is still starting, and while it reads the old one, which is long: it goes
 // on, and takes the new one up.
 TEST_F(ProcessFaultsTest, ANewConfigurationDuringTheStartDoesNotEndIt) {
@@ -138,5 +159,46 @@
         }
 }
 
+// Invokers close a connection that idled at the moment when a request comes that may run but once. It does not leave on
+// what has been closed already.
+TEST_F(ProcessFaultsTest, ARequestDoesNotLeaveOnAConnectionThatWasClosedWhileItIdled) {
+    Peer& a = peer(11);
+    Peer& b = peer(12);
+    start(replaced(config(), R"("semantics":"retryable")", R"("semantics":"fragile")"));
+    std::vector<Client*> all;
+    for (std::uint64_t i = 1; i <= 30; ++i) all.push_back(&client(500ms, {{}}));
+    for (std::uint64_t i = 1; i <= 30; ++i)
+        world.at(600ms + 100ms * static_cast<int>(i), [&, i] {
+            process->signal(SIGSTOP);
+            Peer::put(all[i - 1]->stream, message(1, job_fields(hex16(i), hex16(i % 3))));
+            for (Peer* each : {&a, &b})
+                for (const auto& stream : std::exchange(each->streams, {})) stream->close();
+            world.at(world.now() + 5ms, [&] { process->signal(SIGCONT); });
+        });
+    run(5s);
+    std::size_t served = 0;
+    for (Client* each : all) served += each->answer(1).status() == "200";
+    EXPECT_EQ(served, 30u);
+}
+
+// Connecting never ends in the turn in which it was begun: what is put on the connection meanwhile learns of its end.
+TEST(Connecting, ToWhatIsNoAddressFailsInALaterTurn) {
+    net::RealWorld world;
+    bool returned = false, in_time = true;
+    const net::Address nowhere{"not an address", 1};
+    const auto connect = [&]() -> Task<> {
+        const auto connected = co_await world.connect(nowhere, 1s);
+        EXPECT_TRUE(connected.error);
+        in_time = !returned;
+    };
+    world.at(world.now(), [&] {
+        world.spawn(connect());
+        returned = true;
+        world.at(world.now() + 10ms, [&] { world.stop(); });
+    });
+    world.run();
+    EXPECT_FALSE(in_time);
+}
+
 }  // namespace
 }  // namespace plumkeel::platform
