Accepts that fail end no idle client, and an ended connection takes no attempt

Cause: Front::accept() took every error for want of descriptors, closed connections it had accepted where all others were busy, and made way of idle ones on which a request had come unread; choose() used an idle connection to an invoker whose end had come in; asio waits for a new connection after ECONNABORTED although the backlog holds more; RealWorld::connect() could return in its turn. Change: errors of the new connection are passed over at once (accept(2)); only EMFILE ends an idle client; pauses grow to 160 ms and no longer 1.3 s; an accepted connection waits for a place and is never closed unheard; idle looks skip a client whose bytes are unread.

--- a/src/admission/admission.cpp
+++ b/src/admission/admission.cpp
@@ -109,10 +109,11 @@
                : Objection::none;
 }
 
-Time Admission::no_descriptors() {
+// To 160 ms: who waits in the backlog has a deadline, and a try in vain costs little.
+Time Admission::accept_pause() {
     count(Objection::no_descriptors);
-    short_of_ = std::min(short_of_ + 1, 7);
-    return 10ms * (1 << short_of_);  // to 1.3 s
+    short_of_ = std::min(short_of_ + 1, 4);
+    return 10ms * (1 << short_of_);
 }
 
 }  // namespace plumkeel
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -84,8 +84,8 @@
     // A body still coming: `got` bytes since `since`.
     Objection pace(Time since, Time now, std::size_t got) const;
 
-    // The accept ended for want of descriptors: how long to pause, so that accepting does not spin.
-    Time no_descriptors();
+    // The accept failed: how long to pause, so that accepting does not spin.
+    Time accept_pause();
     void accepted() { short_of_ = 0; }
     Time retry_after() const { return std::chrono::seconds(1); }
 
--- a/src/fastcgi/front.cpp
+++ b/src/fastcgi/front.cpp
@@ -9,6 +9,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t most_over = 8;  // connections beyond the bound, while those in whose place they stand take leave
+constexpr auto place_wait = 100ms;    // between looks for a connection that can make way
 constexpr int most_looks = 100;       // at what came before the door closes: who sends without end is not waited for
 
 Front::Front(gateway::Gateway& gateway, Paths paths)
@@ -30,30 +31,19 @@
         auto accepted = co_await listener->accept();
         if (accepted.error == net::asio::error::operation_aborted) co_return;
         if (accepted.error) {
-            // Nearly always for want of descriptors. The connection stays in the backlog, so accepting at
-            // once again would spin: the next try comes when a descriptor is free, or after a growing pause.
+            // The connection stays in the backlog, so accepting at once again would spin: the next try comes when a
+            // connection has left, or after a growing pause. Only where this process has used its descriptors up does it
+            // help that an idle client goes (accept(2): EMFILE).
             gateway_.log().line(Log::Level::error, "accept_broke", {{"why", accepted.error.message()}});
-            if (const auto chosen = least_needed()) chosen->leave_at_once();
-            auto ticket = gateway_.world().at(gateway_.world().now() + admission.no_descriptors(), [this] { visit_left_.fire(); });
-            co_await visit_left_.wait();
-            gateway_.world().drop(ticket);
+            const auto chosen = accepted.error == net::asio::error::no_descriptors ? least_needed() : nullptr;
+            if (chosen) chosen->leave_at_once();
+            co_await visit_leaves(admission.accept_pause());
             continue;
         }
         admission.accepted();
-        Objection objection = admission.connection_came();
-        if (objection != Objection::none) {
-            // The place is free only once the other has gone: this one may stand beside it for that long. More than
-            // a few such would together cost the board its descriptor, so their farewell is cut short.
+        if (const Objection objection = admission.connection_came(); objection != Objection::none) {
             admission.count(objection);
-            const auto chosen = least_needed();
-            if (!chosen) {
-                accepted.stream->close();
-                continue;
-            }
-            if (admission.connections() < admission.rules().connections + most_over)
-                chosen->leave();
-            else
-                chosen->leave_at_once();
+            co_await make_place();
             admission.connection_came_over();
         }
         const auto visit = std::make_shared<Visit>(*this, ++visit_numbers_, std::move(accepted.stream));
@@ -62,11 +52,40 @@
     }
 }
 
-// The one to go when places are short; null where none may.
+net::Task<> Front::visit_leaves(net::Time at_most) {
+    auto ticket = gateway_.world().at(gateway_.world().now() + at_most, [this] { visit_left_.fire(); });
+    co_await visit_left_.wait();
+    gateway_.world().drop(ticket);
+}
+
+// For a connection that has been accepted, and on which a request may have come: it is never closed unheard. A place is
+// free only once another connection has gone; this one may stand beside it for that long. More than a few such would
+// together cost the board its descriptor, so their farewell is cut short. Where all are busy it waits for the first that
+// is not; no further one is accepted meanwhile.
+net::Task<> Front::make_place() {
+    const Admission& admission = gateway_.admission();
+    const std::size_t most = admission.rules().connections + most_over;
+    ++waiting_for_place_;
+    while (admission.connections() >= admission.rules().connections) {
+        if (const auto chosen = least_needed()) {
+            if (admission.connections() < most)
+                chosen->leave();
+            else
+                chosen->leave_at_once();
+            break;
+        }
+        if (admission.connections() < most) break;
+        co_await visit_leaves(place_wait);
+    }
+    --waiting_for_place_;
+}
+
+// The one to go when places are short; null where none may. One whose client has said something that is not read yet
+// is not idle.
 std::shared_ptr<Visit> Front::least_needed() const {
     std::shared_ptr<Visit> chosen;
     for (const auto& [number, visit] : visits_) {
-        if (!visit->idle()) continue;
+        if (!visit->idle() || visit->unread()) continue;
         if (!visit->spoke()) {
             chosen = visit;
             break;
@@ -84,7 +103,7 @@
 // What came before the door closes is owed an answer, also where this process has not come to read it: connections
 // in the backlog, and jobs in the buffers of sockets.
 void Front::shut(int looks) {
-    const bool owed = (listener_ && listener_->waiting()) ||
+    const bool owed = waiting_for_place_ > 0 || (listener_ && listener_->waiting()) ||
                       std::any_of(visits_.begin(), visits_.end(), [](const auto& each) { return each.second->unread(); });
     if (owed && looks > 0) {
         gateway_.world().at(gateway_.world().now() + 1ms, [this, looks] { shut(looks - 1); });
--- a/src/fastcgi/front.hpp
+++ b/src/fastcgi/front.hpp
@@ -35,6 +35,9 @@
 
 private:
     net::Task<> accept();
+    // Waits until a connection has left, or for so long.
+    net::Task<> visit_leaves(net::Time at_most);
+    net::Task<> make_place();
     std::shared_ptr<Visit> least_needed() const;
     void shut(int looks);
     void see_whether_done();
@@ -45,6 +48,7 @@
     std::map<std::uint64_t, std::shared_ptr<Visit>> visits_;  // in the order in which they came
     std::unordered_set<std::string> names_;
     std::uint64_t visit_numbers_{};
+    int waiting_for_place_{};  // connections that are accepted and not read yet
     bool answered_all_{};
     net::Signal visit_left_;
     std::function<void()> then_;
--- a/src/fastcgi/visit.cpp
+++ b/src/fastcgi/visit.cpp
@@ -397,7 +397,8 @@
         return;
     }
     watch_.set(now + watch_every);
-    if (leaving_) return;
+    // What has come and is not read yet may be what is missed here: the next look is soon enough.
+    if (leaving_ || stream_->unread()) return;
     for (const std::uint16_t number : intake_.unfinished())
         if (now - begun_[number] >= rules.head_within) {
             intake_.forget(number);
--- a/src/net/real.cpp
+++ b/src/net/real.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -31,6 +32,15 @@
     return error == asio::error::no_buffer_space || error == asio::error::no_memory;
 }
 
+// The error is the new connection's own, which has gone from the backlog: the next one there can be accepted at once
+// (accept(2), "Error handling").
+bool of_new_connection(const Error& error) {
+    if (error.category() != asio::error::get_system_category()) return false;
+    for (const int each : {ECONNABORTED, EPROTO, ENETDOWN, ENOPROTOOPT, EHOSTDOWN, ENONET, EHOSTUNREACH, EOPNOTSUPP, ENETUNREACH, ETIMEDOUT})
+        if (error.value() == each) return true;
+    return false;
+}
+
 bool readable(int descriptor) {
     pollfd look{descriptor, POLLIN, 0};
     int ready = 0;
@@ -117,9 +127,12 @@
     explicit SocketListener(tcp::acceptor acceptor) : acceptor_(std::move(acceptor)) {}
 
     Task<Accepted> accept() override {
-        auto [error, socket] = co_await acceptor_.async_accept(told);
-        if (error) co_return Accepted{error, nullptr};
-        co_return Accepted{{}, std::make_shared<SocketStream>(std::move(socket))};
+        for (;;) {
+            auto [error, socket] = co_await acceptor_.async_accept(told);
+            if (of_new_connection(error)) continue;
+            if (error) co_return Accepted{error, nullptr};
+            co_return Accepted{{}, std::make_shared<SocketStream>(std::move(socket))};
+        }
     }
 
     bool waiting() override { return acceptor_.is_open() && readable(acceptor_.native_handle()); }
@@ -158,7 +171,10 @@
 Task<World::Connected> RealWorld::connect(Address to, Time limit) {
     Error error;
     const auto address = asio::ip::make_address(to.host, error);
-    if (error) co_return Connected{error, nullptr};
+    if (error) {
+        co_await asio::post(context_, asio::use_awaitable);
+        co_return Connected{error, nullptr};
+    }
     auto socket = std::make_shared<tcp::socket>(context_);
     bool late = false;
     Ticket ticket = at(now() + limit, [&late, socket] {
@@ -182,6 +198,8 @@
     acceptor.open(end.protocol(), out.error);
     // A restart takes the port at once, although connections of the earlier process still linger.
     if (!out.error) acceptor.set_option(tcp::acceptor::reuse_address(true), out.error);
+    // Else the reactor would wait for the next connection to come, although more may stand in the backlog.
+    if (!out.error) acceptor.set_option(asio::socket_base::enable_connection_aborted(true), out.error);
     if (!out.error) acceptor.bind(end, out.error);
     if (!out.error) acceptor.listen(asio::socket_base::max_listen_connections, out.error);
     if (!out.error) out.listener = std::make_shared<SocketListener>(std::move(acceptor));
--- a/src/runline/pool.cpp
+++ b/src/runline/pool.cpp
@@ -87,6 +87,8 @@
     }
 
     bool takes() const { return alive_ && !retired_; }
+    // Whether it idles and its end has come in, though nobody has read it yet. Whatever was written now would be lost.
+    bool has_ended() const { return out_.empty() && stream_ && stream_->ended(); }
     std::size_t load() const { return out_.size(); }
     net::Time heard() const { return heard_; }
     bool bears(std::string_view id) const {
@@ -378,6 +380,10 @@
     std::size_t takers = 0;  // what only waits for its last answers, at an earlier address, stands in nobody's way
     for (const auto& connection : connections_) {
         if (!connection->takes()) continue;
+        if (connection->has_ended()) {
+            connection->close();
+            continue;
+        }
         ++takers;
         if (errand.light()) {
             if (!best || (connection->load() > 0 && (best->load() == 0 || connection->heard() < best->heard()))) best = connection;
--- a/src/web/service.cpp
+++ b/src/web/service.cpp
@@ -54,7 +54,7 @@
             // Nearly always for want of descriptors. The connection stays in the backlog, so accepting at
             // once again would spin.
             log_.line(Log::Level::error, "accept_broke", {{"why", accepted.error.message()}});
-            co_await world_.sleep(gateway_.admission().no_descriptors());
+            co_await world_.sleep(gateway_.admission().accept_pause());
             continue;
         }
         gateway_.admission().accepted();
