Rules checked at run time: one guard each for sending, repeating, closing and answering

Change: gateway::Invariants checks nine rules against what is on the connections, counts each break and logs it with ids; the counts are in the status, the state line and plumkeel_invariants_broken_total; log lines carry the client's request id; the end of a client connection and a step of the wall clock are logged. Every virtual-time test of the platform ends by asking for zero breaks.

--- a/src/fastcgi/visit.cpp
+++ b/src/fastcgi/visit.cpp
@@ -10,6 +10,7 @@
 namespace plumkeel::fastcgi {
 
 using namespace std::chrono_literals;
+using gateway::Invariant;
 using gateway::Wanted;
 using gateway::Ward;
 
@@ -168,6 +169,7 @@
 // would send a reset for the unread bytes, which may overtake our last answer.
 void Visit::leave() {
     if (std::exchange(leaving_, true)) return;
+    told_leaving();
     // From here on nothing is read, so nobody could say that a job is wanted no more: none stays open.
     while (!open_.empty()) drop(open_.begin()->first);
     auto farewell = [](std::shared_ptr<Visit> self) -> net::Task<> {
@@ -181,8 +183,19 @@
     world().spawn(farewell(shared_from_this()));
 }
 
+void Visit::told_leaving() {
+    gateway_.invariants().check(open_.empty(), Invariant::closed_with_requests, [&] {
+        return gateway::Invariants::Fields{{"connection", number_}, {"open", open_.size()}, {"finishing", finishing_}};
+    });
+    if (!gateway_.log().wants(Log::Level::debug)) return;
+    gateway_.log().line(Log::Level::debug, "client_connection_ends",
+                        {{"connection", number_}, {"open", open_.size()}, {"spoke", spoke_}, {"unreadable", unreadable_},
+                         {"finishing", finishing_}, {"idle_ms", (world().now() - last_) / 1ms}});
+}
+
 void Visit::leave_at_once() {
     if (std::exchange(leaving_, true)) return;
+    told_leaving();
     gone_ = true;
     stream_->close();
 }
--- a/src/fastcgi/visit.hpp
+++ b/src/fastcgi/visit.hpp
@@ -55,6 +55,7 @@
     bool count_coming();
     void turn_back_unfinished();
     void finish();
+    void told_leaving();
     Objection understand(const Message& message, gateway::Wanted& wanted) const;
     void object(std::uint16_t number, Objection objection, bool keep);
     void answer(std::uint16_t number, std::string head, std::string_view body, std::uint8_t protocol_status = complete);
--- a/src/gateway/edges.hpp
+++ b/src/gateway/edges.hpp
@@ -53,6 +53,8 @@
     virtual ~Errand() = default;
 
     virtual void ended(Outcome outcome) = 0;
+    // Its first byte leaves now.
+    virtual void leaves() {}
     // A large answer has begun, with this status and these lines to pass on. False: nobody wants it, and the
     // errand ends as called off.
     virtual bool begins(unsigned, const std::string&) { return false; }
@@ -123,6 +125,11 @@
     void end(const std::shared_ptr<Errand>& errand, Ending ending);
     void end_soon(std::shared_ptr<Errand> errand, Ending ending);
 
+    // Its first byte leaves now.
+    static void leaves(Errand& errand) {
+        errand.state_ = Errand::State::out;
+        errand.leaves();
+    }
     static void set_state(Errand& errand, Errand::State state) { errand.state_ = state; }
     static std::shared_ptr<void>& carrier(Errand& errand) { return errand.carrier_; }
     void unlimit(Errand& errand) { world_.drop(errand.limit_); }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 
 // While requests are open this thread has something due so often: by how late it comes a pause of the process is noticed.
 constexpr Time pulse_every = 40ms, stood_still = 30ms;
+constexpr Time answer_grace = 58ms;  // rules.grace_to_answer as the protocol page gives it, and the 50 ms of sockets
 
 class HopErrand : public Errand {
 public:
@@ -22,6 +23,10 @@
     }
 
     void ended(Outcome outcome) override { gateway_.hop_ended(*this, std::move(outcome)); }
+    void leaves() override {
+        left = gateway_.world_.now();
+        gateway_.check_leaving(*this);
+    }
     bool begins(unsigned status, const std::string& passed) override {
         return gateway_.hop_begins(*this, status, passed);
     }
@@ -39,6 +44,7 @@
 public:
     Ward& ward;
     Hop& hop;
+    std::optional<Time> left;  // when its first byte did
     std::optional<Outcome> held_back;  // it ended while another hop's answer streams
 };
 
@@ -112,7 +118,8 @@
       incarnation_(fmt::format("{}/{:x}", charter_.name, world.wall() / 1ms)),
       tenants_(charter_.tenants),
       controller_(start_of(charter_, seed), use_cases_of(charter_), tenants_of(tenants_), std::move(recorded),
-                  charter_.trace.reasons) {
+                  charter_.trace.reasons),
+      invariants_(log) {
     start_clock_.look(world_.now(), world_.wall());
     if (charter_.metrics.on) meters_ = std::make_unique<metrics::Meters>(charter_.metrics.rules, charter_.name);
 }
@@ -232,8 +239,8 @@
     if (late && whole) ++tally_.late;
     if (log_.wants(Log::Level::debug))
         log_.line(Log::Level::debug, "hop_ended",
-                  {{"job", ward.id}, {"hop", errand.hop.number}, {"invoker", errand.hop.invoker->name},
-                   {"ending", trace::word_of(outcome.ending)}, {"late", late}, {"note", trace::word_of(outcome.note)},
+                  {{"request", ward.name}, {"job", ward.id}, {"hop", errand.hop.number}, {"invoker", errand.hop.invoker->name},
+                   {"left", errand.left.has_value()}, {"ending", trace::word_of(outcome.ending)}, {"late", late}, {"note", trace::word_of(outcome.note)},
                    {"company", outcome.company}, {"warm", errand.hop.expected_warm}, {"function", ward.function->name},
                    {"crowd", errand.hop.crowd}, {"took_ms", static_cast<double>((world_.now() - errand.hop.sent).count()) / 1000}});
     const std::uint64_t id = ward.id;
@@ -241,6 +248,7 @@
     feed([&](trace::Watched& it, Time now) {
         Results results = it.hop_ended(now, errand.hop, outcome.ending, outcome.note, outcome.company, outcome.report);
         if (!late && ward.answered() && ward.state != JobState::bounced && ward.state != JobState::written_off) {
+            if (ward.visit) check_answer(ward);
             const auto visit = std::exchange(ward.visit, nullptr);
             if (!visit) {
             } else if (ward.streams) {
@@ -396,6 +404,58 @@
     dispatch(errand, static_cast<Post&>(*hop.invoker), hop.limit);
 }
 
+// Whether the attempt has taken effect for all that is known: it has left, and nothing proves that it never ran.
+static bool may_have_run(const HopErrand& errand) {
+    if (!errand.left) return false;
+    if (errand.hop.out) return true;
+    switch (errand.hop.ending.value_or(Ending::cut_off)) {
+        case Ending::turned_away:
+        case Ending::unreachable:
+        case Ending::never_sent:
+        case Ending::not_loaded:
+            return false;
+        default:
+            return true;
+    }
+}
+
+void Gateway::check_leaving(const HopErrand& errand) {
+    const Ward& ward = errand.ward;
+    const Hop& hop = errand.hop;
+    const Post& post = static_cast<const Post&>(*hop.invoker);
+    const Time now = world_.now();
+    const auto fields = [&] {
+        return Invariants::Fields{{"request", ward.name}, {"job", ward.id}, {"attempt", hop.number}, {"invoker", post.name},
+                                  {"state", trace::word_of(ward.state)}, {"age_ms", (now - ward.taken) / 1ms},
+                                  {"left_ms", (ward.expires - now) / 1ms}};
+    };
+    const Allowances& may = charter_.allowances;
+    invariants_.check(!ward.answered() && ward.visit, Invariant::attempt_after_end, fields);
+    invariants_.check(now <= ward.expires && errand.until <= ward.expires, Invariant::attempt_past_deadline, fields);
+    invariants_.check(hop.number < may.hops, Invariant::too_many_attempts, fields);
+    invariants_.check(post.ready && post.listed, Invariant::attempt_to_drained, fields);
+    for (const auto& other : ward.errands) {
+        if (other.get() == &errand || !may_have_run(*other)) continue;
+        invariants_.check(may.second_copies || !other->hop.out, Invariant::two_attempts_out, fields);
+        invariants_.check(may_repeat(*ward.use_case, *other->hop.invoker, *other->left, post, now), Invariant::unsafe_repeat, fields);
+    }
+}
+
+// Of a request that gets its final answer now, whoever gives it.
+void Gateway::check_answer(const Ward& ward) {
+    const Time now = world_.now();
+    const auto fields = [&] {
+        return Invariants::Fields{{"request", ward.name}, {"job", ward.id}, {"state", trace::word_of(ward.state)},
+                                  {"attempts", ward.errands.size()}, {"late_ms", (now - ward.expires) / 1ms}};
+    };
+    // What is late since this thread itself was held up has had its answer as soon as it could.
+    invariants_.check(now <= ward.expires + answer_grace + world_.late() || ward.streams, Invariant::answered_late, fields);
+    if (ward.state != JobState::bounced) return;
+    for (const auto& each : ward.errands)
+        if (may_have_run(*each))
+            invariants_.check(may_promise_no_effect(*ward.use_case, *each->left, now), Invariant::refused_what_may_have_run, fields);
+}
+
 void Gateway::send_probe(Post& post) {
     ++tally_.probes;
     if (meters_) meters_->probe_sent();
@@ -413,9 +473,10 @@
 void Gateway::answer(Ward& ward) {
     const bool bounced = ward.state == JobState::bounced;
     log_.line(Log::Level::info, bounced ? "job_bounced" : "job_written_off",
-              {{"job", ward.id}, {"function", ward.function->name}, {"use_case", static_cast<const StatedUseCase*>(ward.use_case)->name},
+              {{"request", ward.name}, {"job", ward.id}, {"function", ward.function->name}, {"use_case", static_cast<const StatedUseCase*>(ward.use_case)->name},
                {"hops", ward.hops.size()}, {"why", trace::words_of(ward.why)}, {"again", ward.again},
                {"after_ms", (world_.now() - ward.taken) / 1ms}});
+    if (ward.visit) check_answer(ward);
     if (const auto visit = std::exchange(ward.visit, nullptr))
         visit->turned(ward);
     count(ward);
@@ -446,7 +507,7 @@
     }
     if (log_.wants(Log::Level::debug))
         log_.line(Log::Level::debug, "job_ended",
-                  {{"job", ward.id}, {"state", trace::word_of(ward.state)}, {"hops", ward.hops.size()}, {"why", trace::words_of(ward.why)},
+                  {{"request", ward.name}, {"job", ward.id}, {"state", trace::word_of(ward.state)}, {"hops", ward.hops.size()}, {"why", trace::words_of(ward.why)},
                    {"after_ms", (world_.now() - ward.taken) / 1ms}});
     see_whether_done();
 }
@@ -496,6 +557,8 @@
         out.pace_worst = *std::max_element(paces.begin(), paces.end());
     }
     if (const auto told_at = list_told()) out.list_age_s = in_seconds(world_.now() - *told_at);
+    for (int i = 0; i < static_cast<int>(Invariant::count_); ++i)
+        out.invariants_broken[std::string(word_of(static_cast<Invariant>(i)))] = static_cast<double>(invariants_.broken(static_cast<Invariant>(i)));
     out.log_lost = static_cast<double>(log_.lost());
     out.unreachable = static_cast<double>(connection_counts_.unreachable);
     for (int i = 1; i < static_cast<int>(Objection::count_); ++i) {
@@ -536,6 +599,11 @@
         slot = slot.as_int64() + 1;
     }
     const auto told_at = list_told();
+    boost::json::object broken;
+    for (int i = 0; i < static_cast<int>(Invariant::count_); ++i) {
+        const auto invariant = static_cast<Invariant>(i);
+        if (invariants_.broken(invariant)) broken[word_of(invariant)] = invariants_.broken(invariant);
+    }
     return {{"controller", incarnation_},
             {"up_s", static_cast<double>(world_.now().count()) / 1e6},
             {"closing", admission_.closing()},
@@ -554,6 +622,8 @@
             {"invokers", standings},
             {"list_age_s", told_at ? boost::json::value(static_cast<double>((world_.now() - *told_at).count()) / 1e6)
                                    : boost::json::value(nullptr)},
+            {"invariants_broken", broken},
+            {"wall_clock_steps", start_clock_.steps()},
             {"log_lost", log_.lost()}};
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 #include "admission/admission.hpp"
 #include "fleet/follower.hpp"
 #include "gateway/edges.hpp"
+#include "gateway/invariants.hpp"
 #include "gateway/start_clock.hpp"
 #include "log/log.hpp"
 #include "metrics/meters.hpp"
@@ -91,6 +92,7 @@
     Log& log() { return log_; }
     const std::string& incarnation() const { return incarnation_; }
     void tell_spoilt(decltype(ConnectionCounts::tell_spoilt) tell) { connection_counts_.tell_spoilt = std::move(tell); }
+    Invariants& invariants() { return invariants_; }
     boost::json::object status() const;
     // For each invoker what the module believes, beside what is on the connections.
     boost::json::array believed() const;
@@ -115,6 +117,8 @@
     void see_off(std::shared_ptr<Post> post);
     void carry_out(const Results& results);
     void send_hop(Hop& hop);
+    void check_leaving(const HopErrand& errand);
+    void check_answer(const Ward& ward);
     void send_probe(Post& post);
     void send_order(const CopyOrder& order);
     void answer(Ward& ward);
@@ -144,6 +148,7 @@
     Tally tally_;
     StartClock start_clock_;
     trace::Watched controller_;
+    Invariants invariants_;
     std::function<std::optional<Time>()> list_told_;
     std::unique_ptr<metrics::Meters> meters_;
     std::function<void(metrics::Levels&)> measure_also_;
--- a/src/metrics/meters.cpp
+++ b/src/metrics/meters.cpp
@@ -66,6 +66,7 @@
     hops_ = counter("hops_total", "Hops ended, by ending");
     loads_ = counter("copies_met_total", "How honoured hops found their copy");
     turned_back_ = counter("turned_back_total", "What the door turned back, by objection");
+    invariants_broken_ = counter("invariants_broken_total", "Rules found broken at run time, by invariant: 0 for ever");
     took_ = histograms("job_seconds", "From taken to its answer, of honoured jobs");
     waited_ = histograms("waited_seconds", "Until a job's first hop left, or its end");
     hop_count_ = histograms("job_hops", "Hops of a job");
@@ -169,6 +170,11 @@
         if (!counter) counter = &turned_back_->Add({{"objection", objection}});
         up_to(*counter, value);
     }
+    for (const auto& [invariant, value] : l.invariants_broken) {
+        Counter*& counter = by_invariant_[invariant];
+        if (!counter) counter = &invariants_broken_->Add({{"invariant", invariant}});
+        up_to(*counter, value);
+    }
 }
 
 void Meters::review() {
--- a/src/metrics/meters.hpp
+++ b/src/metrics/meters.hpp
@@ -46,6 +46,7 @@
     double recorder_dropped{}, log_lost{};
     double unreachable{};  // connections to invokers that did not come about
     std::map<std::string, double> turned_back;  // at the door, by objection
+    std::map<std::string, double> invariants_broken;  // by invariant; all of them, also those that hold
 };
 
 class Meters {
@@ -82,14 +83,14 @@
     const MeterRules rules_;
     prometheus::Registry registry_;
     Heaviest tenants_, functions_;
-    prometheus::Family<Counter>*jobs_{}, *function_jobs_{}, *bounces_{}, *hops_{}, *loads_{}, *turned_back_{};
+    prometheus::Family<Counter>*jobs_{}, *function_jobs_{}, *bounces_{}, *hops_{}, *loads_{}, *turned_back_{}, *invariants_broken_{};
     prometheus::Family<Histogram>*took_{}, *waited_{}, *hop_count_{};
     prometheus::Family<Gauge>* invokers_{};
     Counter *taken_{}, *again_{}, *looks_{}, *probes_{}, *orders_{}, *beliefs_wrong_{}, *loads_unfinished_{}, *recorder_dropped_{}, *log_lost_{}, *unreachable_{};
     Histogram *hop_took_{}, *load_took_{};
     std::map<std::string, Gauge*> gauges_;
     std::map<std::string, Tenants, std::less<>> by_tenant_;
-    std::map<std::string, Counter*, std::less<>> by_function_, by_reason_, by_objection_;
+    std::map<std::string, Counter*, std::less<>> by_function_, by_reason_, by_objection_, by_invariant_;
     std::array<Counter*, 9> by_ending_{};
     std::array<Counter*, 5> by_note_{};
     std::map<std::string, Histogram*, std::less<>> took_by_, waited_by_, hops_by_;
--- a/src/runline/pool.cpp
+++ b/src/runline/pool.cpp
@@ -171,7 +171,7 @@
         } else if (!put_attempt(placed, before)) {
             return;
         }
-        ConnectionPool::set_state(*placed.errand, Errand::State::out);
+        ConnectionPool::leaves(*placed.errand);
         placed.since = world_.now();
     }
 
--- a/src/web/pool.cpp
+++ b/src/web/pool.cpp
@@ -79,7 +79,7 @@
     void take(std::shared_ptr<Errand> errand) {
         errand_ = std::move(errand);
         ConnectionPool::carrier(*errand_) = shared_from_this();
-        ConnectionPool::set_state(*errand_, Errand::State::out);
+        ConnectionPool::leaves(*errand_);
     }
 
     bool put() {
--- a/tests/platform_world.hpp
+++ b/tests/platform_world.hpp
@@ -276,6 +276,8 @@
     void TearDown() override {
         for (const auto& each : peers) EXPECT_TRUE(each->odd.empty()) << each->odd.front();
         for (const auto& each : clients) EXPECT_TRUE(answers(each->got));
+        const auto broken = host ? host->gateway().status().at("invariants_broken").as_object() : boost::json::object();
+        EXPECT_TRUE(broken.empty()) << boost::json::serialize(broken);
         trace::Again again;
         for (const trace::Record& each : trace) again.feed(each);
         EXPECT_EQ(again.compare().different_calls, 0u);
