Reads wait for the socket and read themselves: no data stands unread after a failed read

Cause: asio's reactive read takes a read that moved no byte for the end of what has come; after ENOMEM of recv(2) the data stood unread until more came, past the request's time. Change: SocketStream::read() waits with async_wait(), which ends also where data is there already, and reads without asio's guess.

--- a/src/net/real.cpp
+++ b/src/net/real.cpp
@@ -58,9 +58,15 @@
     }
 
     Task<Moved> read(asio::mutable_buffer into) override {
+        // asio's own read is not used: it takes one that failed for the end of what has come, and waits for more.
         for (;;) {
-            const auto [error, bytes] = co_await socket_.async_read_some(into, told);
-            if (!short_of_memory(error)) co_return Moved{error, bytes};
+            // Also where data is there already, this wait ends.
+            if (const auto [error] = co_await socket_.async_wait(tcp::socket::wait_read, told); error) co_return Moved{error, 0};
+            Moved moved;
+            do moved.bytes = socket_.read_some(asio::mutable_buffers_1(into), moved.error);
+            while (moved.error == asio::error::interrupted);
+            if (moved.error == asio::error::would_block || moved.error == asio::error::try_again) continue;
+            if (!short_of_memory(moved.error)) co_return moved;
             asio::steady_timer pause(socket_.get_executor(), shortage_pause);
             co_await pause.async_wait(told);
         }
