--- a/stand/faults/fault_plan.hpp
+++ b/stand/faults/fault_plan.hpp
@@ -30,6 +30,9 @@
     Rule rule[calls];
 };
 
+// For a program that is linked with the library instead: from now on its own calls go by this plan; null: by none.
+extern "C" void plumkeel_use_fault_plan(void* plan);
+
 // A plan in a file of its own, made anew. Throws std::runtime_error where the file can't be made.
 class PlanFile {
 public:
--- a/stand/faults/fault_preload.cpp
+++ b/stand/faults/fault_preload.cpp
@@ -25,8 +25,7 @@
 
 constexpr std::uint32_t million = 1'000'000;
 
-Plan* open_plan() {
-    const char* path = std::getenv(plumkeel::faults::plan_variable);
+Plan* open_plan(const char* path) {
     if (!path) return nullptr;
     const int file = ::open(path, O_RDWR | O_CLOEXEC);
     if (file < 0) return nullptr;
@@ -35,9 +34,12 @@
     return memory == MAP_FAILED ? nullptr : static_cast<Plan*>(memory);
 }
 
+std::atomic<Plan*> chosen{};
+
 Plan* plan() {
-    static Plan* const it = open_plan();
-    return it;
+    static Plan* const named = open_plan(std::getenv(plumkeel::faults::plan_variable));
+    Plan* const it = chosen;
+    return it ? it : named;
 }
 
 // SplitMix64 (Steele, Lea, Flood 2014) over one counter: threads draw different numbers.
@@ -102,6 +104,10 @@
 
 extern "C" {
 
+void plumkeel_use_fault_plan(void* it) {
+    chosen = static_cast<Plan*>(it);
+}
+
 int accept(int fd, sockaddr* at, socklen_t* size) {
     static const auto next = real("accept", &accept);
     return fails(Call::accept) ? -1 : next(fd, at, size);
