The spool works again after a failed write or sync, and keeps just what it took

Cause: append() left a scrape in the database when only its sync failed; LMDB refuses all work after a failed meta page; and pages that the kernel counts as clean after a failed fsync(2) may never have reached the disk, though later scrapes build on them. Change: after a failure the spool is opened anew, brought in line with what is known to be taken and written whole into a new file (mdb_env_copyfd2, fsync, rename, fsync of the folder) before anything else is taken; reading goes on meanwhile; a key that can't be read is no longer counted as dropped unless it is absent or damaged.

--- a/src/remote/spool.cpp
+++ b/src/remote/spool.cpp
@@ -1,9 +1,12 @@
 #include "remote/spool.hpp"
 
+#include <fcntl.h>
 #include <lmdb.h>
+#include <unistd.h>
 #include <zstd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstring>
 #include <filesystem>
 #include <utility>
@@ -53,24 +56,32 @@
 }  // namespace
 
 struct Spool::Store {
+    const std::string folder;
+    const std::size_t most_bytes;
     MDB_env* env{};
     MDB_dbi entries{}, places{};
 
-    explicit Store(const SpoolRules& rules) {
+    explicit Store(const SpoolRules& rules) : folder(rules.folder), most_bytes(rules.bytes) {
         std::error_code error;
-        std::filesystem::create_directories(rules.folder, error);
+        std::filesystem::create_directories(folder, error);
+        open();
+    }
+    void open() {
         check(mdb_env_create(&env), "the spool");
         mdb_env_set_maxdbs(env, 2);
         // Twice what may wait, and room for pages that a write keeps until it is done.
-        check(mdb_env_set_mapsize(env, std::max<std::size_t>(rules.bytes * 2, 8 * 1024 * 1024) / 4096 * 4096), "the spool's size");
+        check(mdb_env_set_mapsize(env, std::max<std::size_t>(most_bytes * 2, 8 * 1024 * 1024) / 4096 * 4096), "the spool's size");
         // Places need no sync of their own: one that is lost with the machine means samples sent again. What append()
         // takes is synced there.
-        if (const int rc = mdb_env_open(env, rules.folder.c_str(), MDB_NOSYNC, 0640)) {
-            mdb_env_close(env);
-            throw SpoolFault(rules.folder + ": " + mdb_strerror(rc));
+        if (const int rc = mdb_env_open(env, folder.c_str(), MDB_NOSYNC, 0640)) {
+            close();
+            throw SpoolFault(folder + ": " + mdb_strerror(rc));
         }
     }
-    ~Store() { mdb_env_close(env); }
+    void close() {
+        if (env) mdb_env_close(std::exchange(env, nullptr));
+    }
+    ~Store() { close(); }
 
     struct Txn {
         MDB_txn* txn{};
@@ -86,17 +97,67 @@
         MDB_val k = value_of(key), v = value_of(value);
         check(mdb_put(txn.txn, where, &k, &v, 0), "the spool does not take it");
     }
-    void put_place(Txn& txn, const std::string& receiver, int part, std::uint64_t place) {
+    void put_figure(Txn& txn, std::string_view key, std::uint64_t figure) {
         std::string value;
-        put_number(value, place);
-        put(txn, places, receiver + '\0' + std::to_string(part), value);
+        put_number(value, figure);
+        put(txn, places, key, value);
+    }
+    void put_place(Txn& txn, const std::string& receiver, int part, std::uint64_t place) {
+        put_figure(txn, receiver + '\0' + std::to_string(part), place);
+    }
+
+    bool can_read() const {
+        MDB_txn* txn = nullptr;
+        if (!env || mdb_txn_begin(env, nullptr, MDB_RDONLY, &txn) != MDB_SUCCESS) return false;
+        mdb_txn_abort(txn);
+        return true;
+    }
+
+    // Opens the databases in a transaction, which makes them if it may and they are not there yet.
+    void open_tables(Txn& txn, unsigned flags) {
+        check(mdb_dbi_open(txn.txn, "entries", flags, &entries), "the spool's entries");
+        check(mdb_dbi_open(txn.txn, "places", flags, &places), "the spool's places");
+    }
+
+    // In a transaction of their own: one that is aborted takes the handles opened in it along.
+    void open_again() {
+        close();
+        open();
+        Txn txn(env, MDB_RDONLY);
+        open_tables(txn, 0);
+        txn.commit();
+    }
+
+    // Writes the whole database into a new file, which is on disk when it takes the old one's place.
+    void write_anew() {
+        const std::filesystem::path now = std::filesystem::path(folder) / "data.mdb", fresh = now.string() + ".new";
+        const Descriptor file(::open(fresh.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0640));
+        if (file.number < 0) throw SpoolFault(fresh.string() + ": " + std::strerror(errno));
+        check(mdb_env_copyfd2(env, file.number, MDB_CP_COMPACT), "the spool can't be written anew");
+        sync(file, fresh);
+        close();
+        std::error_code error;
+        std::filesystem::rename(fresh, now, error);
+        if (error) throw SpoolFault(now.string() + ": " + error.message());
+        sync(Descriptor(::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC)), folder);
+    }
+
+    struct Descriptor {
+        explicit Descriptor(int it) : number(it) {}
+        ~Descriptor() {
+            if (number >= 0) ::close(number);
+        }
+        Descriptor(const Descriptor&) = delete;
+        const int number;
+    };
+    static void sync(const Descriptor& file, const std::filesystem::path& path) {
+        if (file.number < 0 || ::fsync(file.number) != 0) throw SpoolFault(path.string() + ": " + std::strerror(errno));
     }
 };
 
 Spool::Spool(SpoolRules rules, const std::vector<std::string>& receivers) : rules_(std::move(rules)), store_(std::make_unique<Store>(rules_)) {
     Store::Txn txn(store_->env, 0);
-    check(mdb_dbi_open(txn.txn, "entries", MDB_CREATE, &store_->entries), "the spool's entries");
-    check(mdb_dbi_open(txn.txn, "places", MDB_CREATE, &store_->places), "the spool's places");
+    store_->open_tables(txn, MDB_CREATE);
     MDB_cursor* cursor{};
     MDB_val key, value;
     check(mdb_cursor_open(txn.txn, store_->entries, &cursor), "the spool's entries");
@@ -141,9 +202,7 @@
     mdb_cursor_close(cursor);
     if (wrong_parts)
         throw SpoolFault(rules_.folder + ": holds samples in " + std::to_string(wrong_parts) + " parts: send them with that number, or take another folder");
-    std::string parts;
-    put_number(parts, static_cast<std::uint64_t>(rules_.parts));
-    store_->put(txn, store_->places, "parts", parts);
+    store_->put_figure(txn, "parts", static_cast<std::uint64_t>(rules_.parts));
     for (const std::string& each : strangers) {
         MDB_val k = value_of(each);
         mdb_del(txn.txn, store_->places, &k, nullptr);
@@ -152,7 +211,55 @@
 }
 
 Spool::~Spool() {
-    mdb_env_sync(store_->env, 1);
+    try {
+        if (damaged_) repair();
+    } catch (const SpoolFault&) {
+        // The disk still fails: the next run may find a scrape that was not taken.
+    }
+    if (store_->env) mdb_env_sync(store_->env, 1);
+}
+
+template <class Work>
+void Spool::guarded(Work work) {
+    if (damaged_) repair();
+    try {
+        work();
+    } catch (const SpoolFault&) {
+        damaged_ = true;
+        throw;
+    }
+}
+
+// After a sync that failed the kernel may count pages as clean that never reached the disk, and LMDB itself refuses all
+// work after a failed write of its meta page. So it is opened anew, brought in line with what is known here, and written
+// whole into a new file.
+void Spool::repair() {
+    store_->open_again();
+    {
+        Store::Txn txn(store_->env, 0);
+        MDB_cursor* cursor{};
+        MDB_val key, value;
+        std::vector<std::string> strangers;  // of a scrape that was not taken, or was let go of
+        check(mdb_cursor_open(txn.txn, store_->entries, &cursor), "the spool's entries");
+        while (mdb_cursor_get(cursor, &key, &value, MDB_NEXT) == MDB_SUCCESS) {
+            const std::string_view k = text_of(key);
+            if (k.size() != 9 || !scrapes_.count(get_number(k, 0))) strangers.emplace_back(k);
+        }
+        mdb_cursor_close(cursor);
+        for (const std::string& each : strangers) {
+            MDB_val k = value_of(each);
+            mdb_del(txn.txn, store_->entries, &k, nullptr);
+        }
+        store_->put_figure(txn, "end", end_);
+        store_->put_figure(txn, "newest", static_cast<std::uint64_t>(newest_ms_));
+        store_->put_figure(txn, "dropped", dropped_);
+        for (const auto& [name, all] : places_)
+            for (std::size_t part = 0; part < all.size(); ++part) store_->put_place(txn, name, static_cast<int>(part), all[part]);
+        txn.commit();
+    }
+    store_->write_anew();
+    store_->open_again();
+    damaged_ = false;
 }
 
 void Spool::append(std::int64_t at_ms, const std::vector<Part>& parts) {
@@ -181,26 +288,30 @@
         }
         total -= each.bytes;
     }
-    let_go_below(keep_from, true);
+    guarded([&] {
+        let_go_below(keep_from, true);
+        write_scrape(at_ms, entries);
+    });
+    bytes_ += scrape.bytes;
+    newest_ms_ = at_ms;
+    scrapes_.emplace(end_++, std::move(scrape));
+}
+
+void Spool::write_scrape(std::int64_t at_ms, const std::vector<std::pair<std::string, std::string>>& entries) {
     Store::Txn txn(store_->env, 0);
     for (const auto& [key, value] : entries) store_->put(txn, store_->entries, key, value);
-    std::string next;
-    put_number(next, end_ + 1);
-    store_->put(txn, store_->places, "end", next);
-    std::string newest;
-    put_number(newest, static_cast<std::uint64_t>(at_ms));
-    store_->put(txn, store_->places, "newest", newest);
+    store_->put_figure(txn, "end", end_ + 1);
+    store_->put_figure(txn, "newest", static_cast<std::uint64_t>(at_ms));
     txn.commit();
     check(mdb_env_sync(store_->env, 1), "the spool is not on disk");
-    bytes_ += scrape.bytes;
-    newest_ms_ = at_ms;
-    scrapes_.emplace(end_++, std::move(scrape));
 }
 
 Spool::Batch Spool::read(const std::string& receiver, int part, std::size_t most) {
     Batch batch;
     const auto index = static_cast<std::size_t>(part);
     batch.next = places_.at(receiver)[index];
+    // What is known here to be kept can be read from a damaged file too: a disk that takes nothing stops no sending.
+    if (damaged_ && !store_->can_read()) repair();
     Store::Txn txn(store_->env, MDB_RDONLY);
     for (auto it = scrapes_.lower_bound(batch.next); it != scrapes_.end(); ++it) {
         const std::uint32_t samples = it->second.samples[index];
@@ -210,7 +321,9 @@
         const std::string key = key_of(it->first, part);
         MDB_val k = value_of(key), v;
         std::string raw;
-        if (mdb_get(txn.txn, store_->entries, &k, &v) != MDB_SUCCESS || !unpack(text_of(v), raw)) {
+        const int rc = mdb_get(txn.txn, store_->entries, &k, &v);
+        if (rc != MDB_NOTFOUND) check(rc, "the spool can't be read");
+        if (rc == MDB_NOTFOUND || !unpack(text_of(v), raw)) {
             dropped_ += samples;
             continue;
         }
@@ -225,13 +338,15 @@
     std::uint64_t& place = places_.at(receiver)[static_cast<std::size_t>(part)];
     if (next <= place) return;
     place = next;
-    Store::Txn txn(store_->env, 0);
-    store_->put_place(txn, receiver, part, place);
-    txn.commit();
+    guarded([&] {
+        Store::Txn txn(store_->env, 0);
+        store_->put_place(txn, receiver, part, place);
+        txn.commit();
+    });
     std::uint64_t least = end_;
     for (const auto& [name, all] : places_)
         for (const std::uint64_t each : all) least = std::min(least, each);
-    let_go_below(least, false);
+    guarded([&] { let_go_below(least, false); });
 }
 
 void Spool::let_go_below(std::uint64_t sequence, bool dropping) {
@@ -251,11 +366,7 @@
         bytes_ -= scrape.bytes;
         scrapes_.erase(scrapes_.begin());
     }
-    if (dropping) {
-        std::string value;
-        put_number(value, dropped_);
-        store_->put(txn, store_->places, "dropped", value);
-    }
+    if (dropping) store_->put_figure(txn, "dropped", dropped_);
     txn.commit();
 }
 
--- a/src/remote/spool.hpp
+++ b/src/remote/spool.hpp
@@ -33,7 +33,9 @@
     ~Spool();
     Spool(const Spool&) = delete;
 
-    // One scrape; on disk when it returns. Throws SpoolFault where the disk does not take it: nothing of it is kept.
+    // One scrape; on disk when it returns. Throws SpoolFault where the disk does not take it: nothing of it is kept. After
+    // that the next call that writes, or the end, first writes all that is kept anew, into a new file; only if the process
+    // is killed before may the next run find the scrape all the same.
     void append(std::int64_t at_ms, const std::vector<Part>& parts);
 
     struct Batch {
@@ -55,7 +57,12 @@
     std::int64_t newest_ms() const { return newest_ms_; }  // of all that was ever appended
 
 private:
+    void write_scrape(std::int64_t at_ms, const std::vector<std::pair<std::string, std::string>>& entries);
     void let_go_below(std::uint64_t sequence, bool dropped);
+    // Does the work; where the disk fails the spool is damaged from then on.
+    template <class Work>
+    void guarded(Work work);
+    void repair();
 
     const SpoolRules rules_;
     struct Store;
@@ -68,6 +75,7 @@
     std::map<std::uint64_t, Scrape> scrapes_;  // what waits, by its number
     std::map<std::string, std::vector<std::uint64_t>> places_;
     std::uint64_t end_{};
+    bool damaged_{};  // a write or a sync has failed: what the file holds is not known
     std::size_t bytes_{};
     std::uint64_t dropped_{};
     std::int64_t newest_ms_{};
