Failing test: a crowded discovery is given up before its first word, for ever

Cause: discovery::Watch ends a connection that is silent for 1.8 s, also one on which nothing has been said yet, and comes again at the end of the queue.

--- a/tests/cold_ramp_test.cpp
+++ b/tests/cold_ramp_test.cpp
@@ -15,7 +15,7 @@
 using namespace std::chrono_literals;
 
 constexpr double run_s = 0.2, units = 5, fleet_size = 20;
-constexpr Time cold_at = 8s, until = 20s;
+constexpr Time cold_at = 8s, until = 20s, pause_from = 5500ms;
 
 struct Case {
     int controllers;
@@ -23,6 +23,7 @@
     double uneven;     // a tenth of the controllers see so many times the mean
     bool restarts;     // half of the controllers start anew while the invoker is cold
     std::size_t staying;  // of the warm invokers; the others drain as the cold one comes
+    bool pause = false;   // all processes stand still until the cold one comes, and then hear all that they missed
 };
 
 double seconds(Time t) {
@@ -126,9 +127,12 @@
         Process* woken = nullptr;
         for (const auto& it : all)
             if (!woken || it->next < woken->next) woken = it.get();
-        const Time wake = woken->next, event = events.empty() ? Time::max() : events.top().at;
+        const auto heard_at = [&](Time at) { return of.pause && at >= pause_from && at < cold_at ? cold_at : at; };
+        const Time wake = heard_at(woken->next), event = events.empty() ? Time::max() : heard_at(events.top().at);
         now = std::min(wake, event);
-        if (!told && now >= cold_at) {
+        // After a pause what has come is read before anything that is due.
+        const bool read_first = of.pause && event == cold_at;
+        if (!told && now >= cold_at && !read_first) {
             told = true;
             for (const auto& it : all) carry_out(*it, it->controller.fleet_changed(now, it->list(true, of.staying), true), now);
         }
@@ -136,7 +140,7 @@
         while (of.restarts && started_anew < of.controllers / 2 &&
                now >= cold_at + 1s + Time(static_cast<Time::rep>(4e6 * started_anew / std::max(1, of.controllers / 2))))
             start(started_anew++, now);
-        if (wake <= event) {
+        if (wake <= event && !read_first) {
             if (woken->next <= now) carry_out(*woken, woken->controller.wake(now), now);
             continue;
         }
@@ -198,7 +202,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Fleets, ColdRampTest,
                          testing::Values(Case{2, 0.6, 1, false, 6}, Case{30, 0.6, 1, false, 6}, Case{30, 0.6, 6, true, 6}, Case{30, 0.9, 6, true, 2},
-                                         Case{30, 0.9, 6, false, 0}, Case{300, 0.9, 6, true, 0}),
+                                         Case{30, 0.9, 6, false, 0}, Case{300, 0.9, 6, true, 0},
+                                         Case{30, 0.9, 1, false, 6, true}, Case{30, 0.9, 6, false, 0, true}),
                          [](const auto& each) { return "Processes" + std::to_string(each.param.controllers) + "Case" + std::to_string(each.index); });
 
 }  // namespace
--- a/tests/platform_world.hpp
+++ b/tests/platform_world.hpp
@@ -201,6 +201,7 @@
     std::vector<std::shared_ptr<net::Stream>> held;  // all that asked
     std::uint64_t last = 1;
     bool beats = true;
+    Time speaks_after{};  // a connection has come up; until then it is one of a crowd
 
     Noticeboard(net::World& w, const std::string& host) : world(w), listener(w.listen({host, 2379}).listener) {
         world.spawn(accept());
@@ -220,8 +221,10 @@
             std::uint64_t number = 0;
             for (const char c : got) number = number << 8 | static_cast<unsigned char>(c);
             asked.emplace_back(world.now(), number);
-            stream = accepted.stream;
-            held.push_back(stream);
+            world.at(world.now() + speaks_after, [this, it = accepted.stream] {
+                stream = it;
+                held.push_back(it);
+            });
         }
     }
     Task<> beat() {
--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -134,6 +134,23 @@
     }
 }
 
+// This process has no descriptor left now and then: idle clients may have to go, but who comes is served, and soon.
+TEST_F(ProcessFaultsTest, WithoutDescriptorsIdleClientsMakeWay) {
+    peer(11), peer(12);
+    start(config());
+    std::vector<Client*> fresh;
+    for (std::uint64_t i = 1; i <= 10; ++i) client(500ms, {{0ms, message(1, job_fields(hex16(i), hex16(i)))}});
+    world.at(900ms, [&] { plan.fail(Call::accept, 500'000, {EMFILE}); });
+    for (std::uint64_t i = 11; i <= 50; ++i)
+        fresh.push_back(&client(1s + 50ms * static_cast<int>(i - 10), {{0ms, message(1, job_fields(hex16(i), hex16(i)))}}));
+    run(4500ms);
+    EXPECT_GT(plan.rule(Call::accept).failed, 10u);
+    for (Client* each : fresh) {
+        EXPECT_EQ(each->answer(1).status(), "200");
+        EXPECT_LT(each->last - each->connected, 1s);
+    }
+}
+
 // A configuration is replaced while the program is still starting, and while it reads the old one, which is long: it goes
 // on, and takes the new one up.
 TEST_F(ProcessFaultsTest, ANewConfigurationDuringTheStartDoesNotEndIt) {
--- a/tests/rare_events_test.cpp
+++ b/tests/rare_events_test.cpp
@@ -145,5 +145,56 @@
     EXPECT_GE(honoured(), 40u);
 }
 
+// ---------------------------------------------------------------- discovery
+
+// Discovery is crowded: it says nothing on a connection for its first 2.5 s. Whoever gives up sooner, and comes again, is
+// never told of anything.
+TEST_F(PlatformTest, ACrowdedDiscoveryIsHeardInTheEnd) {
+    peer(), peer();
+    Noticeboard board(world, "10.9.0.1");
+    board.speaks_after = 2500ms;
+    open();
+    world.run(12s);
+    EXPECT_TRUE(host->watch().told_at());
+    EXPECT_LE(board.asked.size(), 3u);
+}
+
+// The address of discovery moves at every instant of losing it, pausing and connecting anew: the new one is asked soon.
+TEST_F(PlatformTest, ANewAddressOfDiscoveryIsTakenUpAtEveryInstantOfAReconnect) {
+    Config told = read_config(file_of(plain_config));
+    told.charter.log.file = "/dev/null";
+    Log quiet(world, told.charter.log);
+    auto old = std::make_unique<Noticeboard>(world, "10.9.0.1");
+    std::vector<std::unique_ptr<discovery::Watch>> all;
+    std::vector<std::optional<Time>> told_after_move(160);
+    for (std::uint64_t i = 0; i < told_after_move.size(); ++i) {
+        all.push_back(std::make_unique<discovery::Watch>(world, quiet, told.places, told.discovery, 1, [](const discovery::Event&) {}, i + 1));
+        all.back()->follow();
+    }
+    Noticeboard fresh(world, "10.9.0.2");
+    world.at(1s, [&] {
+        old->listener->close();
+        for (const auto& stream : old->held) stream->close();
+    });
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        const Time moves = 900ms + 20ms * static_cast<int>(i) + 50us * static_cast<int>(i % 7);
+        world.at(moves, [&, i] { all[i]->move_to({"10.9.0.2", 2379}); });
+        world.at(moves + 1200ms, [&, i] { told_after_move[i] = all[i]->told_at(); });
+    }
+    world.at(1ms, [&] { fresh.beats = false; });
+    // It says something to each as it comes.
+    std::function<void()> greet = [&] {
+        for (const auto& stream : fresh.held) Peer::put(stream, frame(1, 0));
+        if (world.now() < 8s) world.at(world.now() + 50ms, greet);
+    };
+    greet();
+    world.run(8s);
+    EXPECT_GE(fresh.asked.size(), all.size());
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        const Time moves = 900ms + 20ms * static_cast<int>(i);
+        EXPECT_TRUE(told_after_move[i] && *told_after_move[i] > moves) << "moved at " << moves.count();
+    }
+}
+
 }  // namespace
 }  // namespace plumkeel::platform
