A new connection to discovery gets twice the time for its first word after each in vain

Cause: Watch gave up after 1.8 s of silence also where nothing had been said on the connection yet. Change: the wait for the first word doubles with each connection lost, up to 14 s; after a word 1.8 s hold as before.

--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -8,6 +8,8 @@
 
 namespace plumkeel::discovery {
 
+constexpr int most_doublings = 3;  // of the wait for a first word: to 14 s
+
 Watch::Watch(net::World& world, Log& log, Places places, net::Address address, std::uint64_t last, Told told, std::uint64_t seed,
              Patience patience)
     : world_(world),
@@ -70,8 +72,10 @@
     Frames frames(places_);
     std::array<char, 4096> room;
     Event event;
+    // A crowded service lets a new connection wait for its first word: each one in vain is given twice the time.
+    net::Time silent_for = patience_.silent_for * (1 << std::min(lost_, most_doublings));
     for (;;) {
-        limit.set(world_.now() + patience_.silent_for);
+        limit.set(world_.now() + silent_for);
         const net::Moved moved = co_await stream->read(net::asio::buffer(room));
         if (silent) co_return "silent";
         if (moved.error || moved_) co_return "broke";
@@ -81,6 +85,7 @@
             if (heard == Heard::gap) co_return "gap";
             told_at_ = world_.now();
             lost_ = 0;
+            silent_for = patience_.silent_for;
             if (heard == Heard::news) told_(event);
             if (moved_) co_return "moved";
         }
