--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -64,7 +64,7 @@
 net::Task<const char*> Watch::listen(std::shared_ptr<net::Stream> stream) {
     const auto outbox = std::make_shared<net::Outbox>(world_, stream);
     outbox->send(asking(order_.last()));
-    bool silent = false;
+    bool silent = false, heard_here = false;
     net::Limit limit(world_, [&] {
         silent = true;
         stream->close();
@@ -73,11 +73,14 @@
     std::array<char, 4096> room;
     Event event;
     // A crowded service lets a new connection wait for its first word: each one in vain is given twice the time.
-    net::Time silent_for = patience_.silent_for * (1 << std::min(lost_, most_doublings));
+    net::Time silent_for = patience_.silent_for * (1 << std::min(unheard_, most_doublings));
     for (;;) {
         limit.set(world_.now() + silent_for);
         const net::Moved moved = co_await stream->read(net::asio::buffer(room));
-        if (silent) co_return "silent";
+        if (silent) {
+            unheard_ += !heard_here;
+            co_return "silent";
+        }
         if (moved.error || moved_) co_return "broke";
         std::string_view bytes(room.data(), moved.bytes);
         while (frames.next(bytes, event)) {
@@ -85,6 +88,8 @@
             if (heard == Heard::gap) co_return "gap";
             told_at_ = world_.now();
             lost_ = 0;
+            unheard_ = 0;
+            heard_here = true;
             silent_for = patience_.silent_for;
             if (heard == Heard::news) told_(event);
             if (moved_) co_return "moved";
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -47,7 +47,8 @@
     std::shared_ptr<net::Stream> stream_;
     std::optional<net::Time> told_at_;
     std::uint64_t connections_{};
-    int lost_{};
+    int lost_{};     // connections in a row, since anything was heard
+    int unheard_{};  // of these, such as came up and fell silent
     bool moved_{};
     net::Signal sooner_;
     Pcg chance_;
