Soak: freezes, rolling restarts, unread answers, few descriptors; denser troubles

Change: four kinds more (all controllers stand still; all are restarted one after the other; clients that read nothing; every fourth controller has 88 descriptors), pauses during a shutdown, options for the gap between troubles and the rate of requests.

--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -15,6 +15,7 @@
 constexpr Time connect_limit = 1s, health_poll = 20ms, idle_for = 4s, crossing = 50ms;
 constexpr std::size_t functions = 40, record_head = 8;
 constexpr int open_most = 32;
+constexpr Time deaf_for = 5s;
 
 const char* class_of(UseOf use) {
     static constexpr const char* names[] = {"preview", "tagged", "ledger"};
@@ -262,6 +263,18 @@
             if (each->alone && each->open.size() == 1 && each->open.begin()->second == at) each->outbox->send("\x07 no record at all");
     }
 
+    Task<> deaf(std::string text) {
+        const auto self = shared_from_this();
+        const auto connected = co_await world.connect(plan.controller, connect_limit);
+        if (connected.error) co_return;
+        const auto stream = connected.stream;
+        const auto outbox = std::make_shared<net::Outbox>(world, stream);
+        outbox->send(std::move(text));
+        co_await world.sleep(deaf_for);
+        outbox->abandon();
+        stream->close();
+    }
+
     net::World& world;
     const ClientPlan plan;
     std::vector<Request>& books;
@@ -305,6 +318,12 @@
     for (int i = 0; i < count; ++i) state_->world.spawn(state_->bad(i % 2 ? "" : bytes::message(1, {{"SCRIPT_NAME", "/_health"}})));
 }
 
+void Clients::read_nothing(int count) {
+    std::string text;
+    for (int i = 0; i < 400; ++i) text += bytes::message(1 + i % 20, {{"SCRIPT_NAME", "/invoke/nothing"}});
+    for (int i = 0; i < count; ++i) state_->world.spawn(state_->deaf(text));
+}
+
 void Clients::malformed_behind_a_request() {
     state_->world.spawn(state_->malformed());
 }
--- a/soak/clients.hpp
+++ b/soak/clients.hpp
@@ -40,6 +40,7 @@
     void flood_halves(int connections);  // messages that never come whole
     void idle(int connections);          // that say nothing, or nothing more
     void malformed_behind_a_request();
+    void read_nothing(int connections);  // of the answers to many requests
 
     struct State;  // shared with the coroutines, which outlive this
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -73,6 +73,8 @@
     run_command->add_option("--invokers", plan.invokers)->capture_default_str()->check(CLI::Range(1, 40));
     run_command->add_option("--proxies", plan.proxies)->capture_default_str()->check(CLI::Range(1, 16));
     run_command->add_option("--seconds", plan.seconds, "of troubles")->capture_default_str()->check(CLI::Range(1, 3600));
+    run_command->add_option("--gap", plan.gap_ms, "ms at the most between the begins of two troubles")->capture_default_str()->check(CLI::Range(50, 60'000));
+    run_command->add_option("--rate", plan.per_second, "requests a second to each controller")->capture_default_str()->check(CLI::Range(0.1, 500.0));
     run_command->add_option("--folder", plan.folder, "made anew")->capture_default_str();
     run_command->add_option("--program", plan.program)->capture_default_str();
     run_command->add_option("--preload", plan.preload)->capture_default_str();
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -179,8 +179,8 @@
     void write_config(const Controller& it) {
         const std::string file = config_of(it), fresh = file + ".new";
         std::ofstream(fresh) << fmt::format(
-            R"({{"name":"c{}","listen":"{}","seed":"{:x}","board":"{}:{}","limits":{{"cores":1.0,"memory_mb":48,"sockets":256}},"known":{},)", it.number,
-            it.address.text(), plan_.seed * 100 + it.number + 1, host(3, board_), discovery_port, known())
+            R"({{"name":"c{}","listen":"{}","seed":"{:x}","board":"{}:{}","limits":{{"cores":1.0,"memory_mb":48,"sockets":{}}},"known":{},)", it.number,
+            it.address.text(), plan_.seed * 100 + it.number + 1, host(3, board_), discovery_port, descriptors_of(it), known())
                              << fmt::format(
                                     R"("settings":{{"areas":["a"],"kinds":["k"],"fleet_size":{},"discovery":"automatic","weight_source":"nominal","quantum":1.0,
  "classes":[{{"name":"preview","aim":800.0,"deadline":3000.0,"semantics":"retryable","group":"all","repeat_window":5000.0}},
@@ -195,6 +195,8 @@
                                     static_cast<double>(slow_start.window_us) / 1000, plan_.seed % 5 != 0, plan_.seed % 2 == 0);
         std::filesystem::rename(fresh, file);
     }
+    // Some have few, so that connections have to make way for each other.
+    static int descriptors_of(const Controller& it) { return it.number % 4 == 3 ? 88 : 256; }
     std::string config_of(const Controller& it) const { return fmt::format("{}/controller-{}.json", plan_.folder, it.number); }
     std::string log_of(const Controller& it) const { return fmt::format("{}/controller-{}.log", plan_.folder, it.number); }
 
@@ -202,7 +204,7 @@
         write_config(it);
         it.faults->heal();
         it.process = std::make_unique<Process>(
-            std::vector<std::string>{"/bin/sh", "-c", "trap '' HUP; exec \"$0\" platform", plan_.program},
+            std::vector<std::string>{"/bin/sh", "-c", fmt::format("trap '' HUP; ulimit -n {}; exec \"$0\" platform", descriptors_of(it)), plan_.program},
             std::map<std::string, std::string>{{"EDGE_CONFIG", config_of(it)}, {"PLUMKEEL_LOG", "debug"}, {"LD_PRELOAD", plan_.preload},
                                                {faults::plan_variable, it.faults->path()}, {"ASAN_OPTIONS", "verify_asan_link_order=0:detect_leaks=0"}},
             log_of(it));
@@ -214,6 +216,7 @@
         plan.controller = it.address;
         plan.number = it.number;
         plan.life = static_cast<std::uint32_t>(it.life);
+        plan.per_second = plan_.per_second;
         plan.seed = plan_.seed * 7919 + it.number * 131 + plan.life;
         plan.first_id = (static_cast<std::uint64_t>(it.number + 1) * 1000 + plan.life) * ids_of_a_life;
         it.clients = std::make_unique<Clients>(world_, plan, books_.requests);
@@ -246,7 +249,7 @@
     }
 
     void pause(Controller& it, Time span) {
-        if (it.state != Controller::State::up || it.paused) return;
+        if (it.state == Controller::State::starting || it.paused || life_of(it).ended_us != never) return;
         it.paused = true;
         it.pause_from = now_us();
         it.process->signal(SIGSTOP);
@@ -305,7 +308,8 @@
             {"refuse", &Run::refusals},       {"resets", &Run::resets},            {"idle-ends", &Run::idle_ends},
             {"errors", &Run::errors},         {"twice", &Run::second_answers},     {"full", &Run::full},
             {"slow", &Run::slowness},         {"discovery", &Run::discovery_gone}, {"bad-clients", &Run::bad_clients},
-            {"silent", &Run::unanswered},
+            {"silent", &Run::unanswered},     {"freeze", &Run::freezes},           {"unread-answers", &Run::unread_answers},
+            {"term-all", &Run::terms_of_all},
         };
         return all;
     }
@@ -322,12 +326,19 @@
         ++counts_[name];
         say(fmt::format("{} for {} ms", name, span / 1ms));
         (this->*begin)(span);
-        after(between(200ms, 900ms), [this] { trouble(); });
+        after(between(std::chrono::milliseconds(plan_.gap_ms / 4), std::chrono::milliseconds(plan_.gap_ms)), [this] { trouble(); });
     }
 
     void pauses(Time span) {
         for (std::size_t i = 0; i < 1 + any(3); ++i) pause(some_controller(), span);
     }
+    void freezes(Time span) {
+        for (Controller& it : controllers_) pause(it, span);
+    }
+    void terms_of_all(Time) {
+        int place = 0;
+        for (Controller& it : controllers_) after(place++ * between(20ms, 300ms), [this, &it] { term(it); });
+    }
     void terms(Time) {
         Controller& it = some_controller();
         term(it);
@@ -429,6 +440,10 @@
                 if (const net::Error error = each->open()) say("discovery: " + error.message());
         });
     }
+    void unread_answers(Time) {
+        Controller& it = some_controller();
+        if (it.state == Controller::State::up) it.clients->read_nothing(6);
+    }
     void bad_clients(Time) {
         Controller& it = some_controller();
         if (it.state != Controller::State::up) return;
