Half messages make way, fresh connections are heard, and time in the backlog counts

Cause: Front::least_needed() never chose connections with only half messages, and chose new ones whose first bytes were on their way; what stood in the backlog while nothing was accepted was taken as new. Change: where places are short, connections that never spoke for 100 ms go first, then the one idle longest, then those with nothing but messages unfinished for 300 ms; the time for which nothing was accepted (or TCP_INFO, if less) counts for a connection's first request.

--- a/src/fastcgi/front.cpp
+++ b/src/fastcgi/front.cpp
@@ -9,6 +9,8 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t most_over = 8;  // connections beyond the bound, while those in whose place they stand take leave
+constexpr auto first_word = 100ms;    // from a connection's coming up to the first bytes on it
+constexpr auto half_message = 300ms;  // a client that is not slow on purpose sends a message in far less
 constexpr auto place_wait = 100ms;    // between looks for a connection that can make way
 constexpr int most_looks = 100;       // at what came before the door closes: who sends without end is not waited for
 
@@ -28,6 +30,7 @@
     const auto listener = listener_;
     Admission& admission = gateway_.admission();
     for (;;) {
+        note_backlog();
         auto accepted = co_await listener->accept();
         if (accepted.error == net::asio::error::operation_aborted) co_return;
         if (accepted.error) {
@@ -46,13 +49,25 @@
             co_await make_place();
             admission.connection_came_over();
         }
-        const auto visit = std::make_shared<Visit>(*this, ++visit_numbers_, std::move(accepted.stream));
+        const auto visit = std::make_shared<Visit>(*this, ++visit_numbers_, std::move(accepted.stream), waited_unaccepted());
         visits_[visit->number()] = visit;
         visit->start();
     }
 }
 
+// Since when connections may have stood in the backlog: while nothing was accepted, or while this thread stood still.
+void Front::note_backlog() {
+    if (!listener_->waiting()) backlog_since_.reset();
+    const net::Time waited = gateway_.waited_unread();
+    if (waited > net::Time{} && !backlog_since_) backlog_since_ = gateway_.world().now() - waited;
+}
+
+net::Time Front::waited_unaccepted() const {
+    return backlog_since_ ? gateway_.world().now() - *backlog_since_ : net::Time{};
+}
+
 net::Task<> Front::visit_leaves(net::Time at_most) {
+    if (!backlog_since_) backlog_since_ = gateway_.world().now();
     auto ticket = gateway_.world().at(gateway_.world().now() + at_most, [this] { visit_left_.fire(); });
     co_await visit_left_.wait();
     gateway_.world().drop(ticket);
@@ -83,16 +98,19 @@
 // The one to go when places are short; null where none may. One whose client has said something that is not read yet
 // is not idle.
 std::shared_ptr<Visit> Front::least_needed() const {
-    std::shared_ptr<Visit> chosen;
+    std::shared_ptr<Visit> chosen, stuck;
     for (const auto& [number, visit] : visits_) {
+        if (!stuck && visit->unfinished_for() > half_message && !visit->unread()) stuck = visit;
         if (!visit->idle() || visit->unread()) continue;
         if (!visit->spoke()) {
+            // What it came to say may be on its way.
+            if (gateway_.world().now() - visit->last() < first_word) continue;
             chosen = visit;
             break;
         }
         if (!chosen || visit->last() < chosen->last()) chosen = visit;
     }
-    return chosen;
+    return chosen ? chosen : stuck;
 }
 
 void Front::close(std::function<void()> then) {
--- a/src/fastcgi/front.hpp
+++ b/src/fastcgi/front.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <unordered_set>
 
 #include "gateway/gateway.hpp"
@@ -38,6 +39,8 @@
     // Waits until a connection has left, or for so long.
     net::Task<> visit_leaves(net::Time at_most);
     net::Task<> make_place();
+    void note_backlog();
+    net::Time waited_unaccepted() const;
     std::shared_ptr<Visit> least_needed() const;
     void shut(int looks);
     void see_whether_done();
@@ -49,6 +52,7 @@
     std::unordered_set<std::string> names_;
     std::uint64_t visit_numbers_{};
     int waiting_for_place_{};  // connections that are accepted and not read yet
+    std::optional<net::Time> backlog_since_;
     bool answered_all_{};
     net::Signal visit_left_;
     std::function<void()> then_;
--- a/src/fastcgi/visit.cpp
+++ b/src/fastcgi/visit.cpp
@@ -71,7 +71,7 @@
 
 }  // namespace
 
-Visit::Visit(Front& front, std::uint64_t number, std::shared_ptr<net::Stream> stream)
+Visit::Visit(Front& front, std::uint64_t number, std::shared_ptr<net::Stream> stream, Time waited)
     : front_(front),
       gateway_(front.gateway()),
       number_(number),
@@ -79,7 +79,8 @@
       outbox_(std::make_shared<net::Outbox>(gateway_.world(), stream_)),
       intake_({.body = gateway_.admission().rules().body_bytes}),
       watch_(gateway_.world(), [this] { watch(); }),
-      left_(gateway_.world()) {}
+      left_(gateway_.world()),
+      waited_(waited) {}
 
 net::World& Visit::world() const {
     return gateway_.world();
@@ -99,6 +100,7 @@
         if (moved.error || leaving_) break;
         last_ = world().now();
         take_in({room.data(), moved.bytes});
+        spoke_before_ = true;
         // Answers to open jobs are bounded by how many may be open; refusals to one who reads none are not.
         if (outbox_->pending() <= pending_most) refusals_ = 0;
         if (refusals_ > refusals_most) {
@@ -121,7 +123,7 @@
 
 // How long the message that is whole now may have stood in its socket. If it is the last that came, the machine knows.
 Time Visit::waited_unread() {
-    const Time most = gateway_.waited_unread();
+    const Time most = std::max(gateway_.waited_unread(), spoke_before_ ? Time{} : waited_);
     if (most <= Time{} || intake_.ahead() > 0 || stream_->unread()) return most;
     return std::min(most, stream_->since_newest_bytes().value_or(most));
 }
@@ -398,6 +400,13 @@
 }
 
 // Looks now and then at what takes too long: a silent connection, half a message, answers not read.
+Time Visit::unfinished_for() const {
+    if (leaving_ || !open_.empty() || begun_.empty() || outbox_->pending() > 0) return {};
+    Time oldest = world().now();
+    for (const auto& [number, since] : begun_) oldest = std::min(oldest, since);
+    return world().now() - oldest;
+}
+
 void Visit::watch() {
     const auto& rules = gateway_.admission().rules();
     const Time now = world().now();
--- a/src/fastcgi/visit.hpp
+++ b/src/fastcgi/visit.hpp
@@ -14,7 +14,8 @@
 
 class Visit : public gateway::Visit, private Told, public std::enable_shared_from_this<Visit> {
 public:
-    Visit(Front& front, std::uint64_t number, std::shared_ptr<net::Stream> stream);
+    // `waited`: how long the connection may have stood unaccepted.
+    Visit(Front& front, std::uint64_t number, std::shared_ptr<net::Stream> stream, net::Time waited);
     void start();
 
     void honoured(const gateway::Ward& ward, unsigned status, std::string_view passed, std::string body) override;
@@ -27,6 +28,8 @@
     std::uint64_t number() const { return number_; }
     bool busy() const { return !open_.empty() || intake_.midway() || outbox_->pending() > 0; }
     bool idle() const { return !busy() && !leaving_; }
+    // For how long nothing but messages that do not come whole has been on it; 0 where there is more.
+    net::Time unfinished_for() const;
     bool spoke() const { return spoke_; }  // a whole message has come
     net::Time last() const { return last_; }
     bool unread() { return !leaving_ && stream_->unread(); }  // its client has said something that is not read yet
@@ -76,10 +79,12 @@
     net::Limit watch_;
     net::Signal left_;
     net::Time last_{}, stuck_since_{}, unread_since_{};
+    const net::Time waited_;
     std::size_t sent_then_{}, counted_{};
     std::size_t refusals_{};          // bytes of short words since less was pending
     std::size_t thrown_away_then_{};  // when a request was taken last
     bool spoke_{}, last_answer_{}, leaving_{}, gone_{};
+    bool spoke_before_{};  // bytes of it were read in an earlier turn
     bool unreadable_{};  // what comes is no FastCGI any more
     bool finishing_{};   // the connection goes once nothing is open on it
 };
