--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -29,6 +29,7 @@
 constexpr std::uint16_t controller_port = 7001, discovery_port = 2379, proxy_port = 7001, invoker_port = 8001;
 constexpr SlowStart slow_start{0.16, 2.0, 6'000'000, 2'000'000};
 constexpr std::int64_t discovery_grace_us = 4'000'000;  // what a lost watch would have told counts as told after it
+constexpr Time discovery_rest = 3s;  // between two outages
 constexpr std::uint64_t ids_of_a_life = 1'000'000;
 
 // Of the process's own part of loopback, so that runs side by side don't meet.
@@ -435,10 +436,13 @@
     void unanswered(Time span) { rate(&Slot::unanswered, 500'000, 0, span); }
     void slowness(Time span) { rate(&Slot::slowness, 800, 100, span); }
     void discovery_gone(Time span) {
-        if (std::exchange(discovery_down_, true)) return;
+        // Whoever is told in a moment between two outages, too short to come again in, can't know: none is so short here.
+        if (discovery_down_ || world_.now() < discovery_back_ + discovery_rest) return;
+        discovery_down_ = true;
         for (const auto& each : discovery_) each->vanish();
         after(span * 2, [this] {
             discovery_down_ = false;
+            discovery_back_ = world_.now();
             for (const auto& each : discovery_)
                 if (const net::Error error = each->open()) say("discovery: " + error.message());
         });
@@ -521,6 +525,7 @@
     std::map<std::string, int> counts_;
     std::uint64_t last_event_ = 1, restarts_{};
     std::uint32_t board_{};
+    Time discovery_back_{};
     bool calming_{}, discovery_down_{};
 };
 
