--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -290,6 +290,67 @@
         }
 }
 
+// After a pause of the process what came meanwhile is read in many small pieces: all of it came before, and the end of a
+// client that stands behind it is seen before anything is sent for that client.
+TEST_F(ProcessFaultsTest, APauseCountsForWhatIsReadInPiecesAfterIt) {
+    Peer& a = peer(11);
+    Peer& b = peer(12);
+    start(config());
+    wait_until_ready();
+    // Settled before, so that the pause falls on connections that are up.
+    Client& stays = client(500ms, {{0ms, message(1, job_fields(hex16(1), hex16(1)))}});
+    Client& leaves = client(500ms, {{0ms, message(1, job_fields(hex16(2), hex16(1)))}});
+    const std::string large(15'000, 'b');
+    at(990ms, [&] { plan.cut_short(Call::receive, 1'000'000); });
+    at(1s, [&] { process->signal(SIGSTOP); });
+    at(1050ms, [&] {
+        Peer::put(stays.stream, message(2, job_fields(hex16(3), hex16(1), 2500), large));
+        Peer::put(leaves.stream, message(2, job_fields(hex16(4), hex16(1), 2500), large) + message(3, job_fields(hex16(5), hex16(1), 2500), large));
+    });
+    at(1100ms, [&] { leaves.stream->close(); });
+    at(2s, [&] { process->signal(SIGCONT); });
+    run(6s);
+    EXPECT_EQ(stays.answer(2).times, 1);
+    for (const Peer* each : {&a, &b})
+        for (std::size_t i = 0; i < each->lines.size(); ++i) {
+            EXPECT_NE(each->runs[i].second, hex16(4));
+            EXPECT_NE(each->runs[i].second, hex16(5));
+            if (each->runs[i].second != hex16(3)) continue;
+            const int patience = std::stoi(each->lines[i].substr(each->lines[i].find("patience=") + 9));
+            EXPECT_LE(patience, (ready + 1050ms + 2500ms + 150ms - each->runs[i].first) / 1ms);
+        }
+}
+
+// The same where memory is short for a moment after the pause, and the first reads fail.
+TEST_F(ProcessFaultsTest, APauseCountsForWhatIsReadOnlyAtTheSecondTry) {
+    Peer& a = peer(11);
+    Peer& b = peer(12);
+    start(config());
+    wait_until_ready();
+    std::vector<Client*> all;
+    for (std::uint64_t i = 1; i <= 10; ++i) all.push_back(&client(500ms, {{0ms, message(1, job_fields(hex16(i), hex16(1)))}}));
+    at(1s, [&] {
+        process->signal(SIGSTOP);
+        plan.fail(Call::receive, 1'000'000, {ENOMEM});
+    });
+    at(1050ms, [&] {
+        for (std::uint64_t i = 1; i <= 10; ++i) Peer::put(all[i - 1]->stream, message(2, job_fields(hex16(100 + i), hex16(1), 2500)));
+    });
+    at(1900ms, [&] { process->signal(SIGCONT); });
+    at(1910ms, [&] { plan.heal(); });
+    run(6s);
+    std::size_t ran = 0;
+    for (const Peer* each : {&a, &b})
+        for (std::size_t i = 0; i < each->lines.size(); ++i) {
+            if (each->runs[i].first < ready + 1s) continue;
+            ++ran;
+            const int patience = std::stoi(each->lines[i].substr(each->lines[i].find("patience=") + 9));
+            EXPECT_LE(patience, (ready + 1050ms + 2500ms + 150ms - each->runs[i].first) / 1ms);
+        }
+    EXPECT_GE(ran, 5u);
+    for (Client* each : all) EXPECT_EQ(each->answer(2).times, 1);
+}
+
 // Invokers close a connection that idled at the moment when a request comes that may run but once. It does not leave on
 // what has been closed already.
 TEST_F(ProcessFaultsTest, ARequestDoesNotLeaveOnAConnectionThatWasClosedWhileItIdled) {
@@ -313,6 +374,43 @@
     EXPECT_EQ(served, 30u);
 }
 
+// A thread that is behind most of the time, with more that is overdue whenever it looks: what is held back while it is
+// late leaves all the same.
+TEST(Overload, HoldsNoAttemptBackForEver) {
+    const auto own = [](int last) { return fmt::format("127.{}.{}.{}", 32 + (::getpid() >> 8) % 32, ::getpid() & 255, last); };
+    std::string text = plain_config;
+    for (const auto& [from, to] : std::map<std::string, std::string>{{"10.1.0.1", own(1)}, {"10.9.0.1", own(9)}, {"10.0.0.1", own(11)}, {"10.0.0.2", own(12)}})
+        text = replaced(text, from, to);
+    Config config = read_config(file_of(text));
+    config.charter.log.file = "/dev/null";
+    net::RealWorld world;
+    Log log(world, config.charter.log);
+    Peer a(world, own(11), {Does::answers}), b(world, own(12), {Does::answers});
+    auto host = std::make_unique<Host>(world, config, log);
+    ASSERT_FALSE(host->open());
+    const auto work = [&](Time span) {
+        const Time until = world.now() + span;
+        while (world.now() < until) {
+        }
+    };
+    for (int i = 0; i < 90; ++i) {
+        world.at(400ms + 50ms * i, [&] { work(42ms); });
+        for (int k = 1; k < 40; ++k) world.at(400ms + 50ms * i + 1ms * k, [&] { work(100us); });
+    }
+    std::vector<std::unique_ptr<Client>> all;
+    for (std::uint64_t i = 1; i <= 10; ++i)
+        all.push_back(std::make_unique<Client>(world, 1s + 10ms * static_cast<int>(i),
+                                               std::vector<std::pair<Time, std::string>>{{0ms, message(1, job_fields(hex16(i), hex16(i), 2900))}}, true,
+                                               net::Address{own(1), 7001}));
+    world.at(5s, [&] { world.stop(); });
+    world.run();
+    std::size_t answered = 0;
+    for (const auto& each : all) answered += each->answer(1).times == 1;
+    EXPECT_EQ(answered, 10u);
+    EXPECT_GE(a.runs.size() + b.runs.size(), 10u);
+    EXPECT_TRUE(host->gateway().status().at("invariants_broken").as_object().empty());
+}
+
 // Connecting never ends in the turn in which it was begun: what is put on the connection meanwhile learns of its end.
 TEST(Connecting, ToWhatIsNoAddressFailsInALaterTurn) {
     net::RealWorld world;
