How long bytes may have stood unread is told by the read itself, and holds until all is read

Change: net::Moved tells how far the thread was behind when the bytes could be read; a client connection remembers since when what it reads may have stood, until nothing is unread; for 0.1 s after a pause no attempt leaves while its client's bytes are unread.

--- a/soak/books.hpp
+++ b/soak/books.hpp
@@ -57,6 +57,7 @@
     std::map<std::uint32_t, Invoker> invokers;
     std::vector<Event> events;  // of all proxies and invokers, in any order
     SlowStart slow_start;
+    std::vector<Pause> own_pauses;  // of the process that plays the clients: what it saw then it saw late
     std::uint64_t invariants_broken{};  // that controllers told of in their logs
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -30,9 +30,9 @@
     std::string troubles, calls;
     for (const auto& [name, count] : result.troubles) troubles += fmt::format(" {} {}", name, count);
     for (const auto& [name, count] : result.failed_calls) calls += fmt::format(" {} {}", name, count);
-    std::cout << fmt::format("seed {}: requests {}, served {}, refused {}, failed {}, excused {}, attempts {}, restarts {}, slow start {:.0f}%; troubles{}; failed calls{}\n",
+    std::cout << fmt::format("seed {}: requests {}, served {}, refused {}, failed {}, excused {}, attempts {}, restarts {}, slow start {:.0f}%, own pause {} ms; troubles{}; failed calls{}\n",
                              plan.seed, verdict.requests, verdict.served, verdict.refused, verdict.failed, verdict.excused, verdict.attempts, result.restarts,
-                             100 * verdict.nearest_slow_start, troubles, calls);
+                             100 * verdict.nearest_slow_start, result.own_pause_ms, troubles, calls);
     std::cout << fmt::format("seed {}: verdict: {}; breaks {}\n", plan.seed, verdict.breaks.empty() ? "rules kept" : "rules broken", verdict.breaks.size());
     return verdict.breaks.empty();
 }
--- a/soak/run.cpp
+++ b/soak/run.cpp
@@ -29,6 +29,7 @@
 constexpr std::uint16_t controller_port = 7001, discovery_port = 2379, proxy_port = 7001, invoker_port = 8001;
 constexpr SlowStart slow_start{0.16, 2.0, 6'000'000, 2'000'000};
 constexpr std::int64_t discovery_grace_us = 4'000'000;  // what a lost watch would have told counts as told after it
+constexpr std::int64_t own_lateness_us = 50'000;
 constexpr Time discovery_rest = 3s;  // between two outages
 constexpr std::uint64_t ids_of_a_life = 1'000'000;
 
@@ -269,11 +270,14 @@
 
     // Ends of processes, and new starts of those that are to go on.
     void look() {
+        const std::int64_t now = now_us(), due = std::exchange(look_due_, now + look_every / 1us);
+        if (due > 0 && now - due > own_lateness_us) books_.own_pauses.push_back({due, now});
         for (Controller& it : controllers_) {
             const auto ending = it.process->ended();
             if (!ending || life_of(it).ended_us != never) continue;
             Life& life = life_of(it);
             life.ended_us = now_us();
+            it.state = Controller::State::ending;
             const bool asked = life.told_to_end_us != never && ending->exited && ending->code == 0;
             if (!life.killed && !asked) {
                 life.crash = fmt::format("ended {} ms after its start{} with {} {}", (life.ended_us - life.started_us) / 1000,
@@ -346,7 +350,10 @@
     void terms(Time) {
         Controller& it = some_controller();
         term(it);
-        if (random_.next() < 0.3) after(between(0ms, 900ms), [this, &it] { it.process->signal(random_.next() < 0.5 ? SIGHUP : SIGTERM); });
+        if (random_.next() >= 0.3) return;
+        after(between(0ms, 900ms), [this, &it, life = it.life] {
+            if (it.life == life) it.process->signal(random_.next() < 0.5 ? SIGHUP : SIGTERM);
+        });
     }
     void kills(Time) { kill(some_controller()); }
     void reloads(Time) {
@@ -505,6 +512,7 @@
         out.verdict = judge(books_);
         out.troubles = counts_;
         out.restarts = restarts_;
+        for (const Pause& each : books_.own_pauses) out.own_pause_ms = std::max(out.own_pause_ms, (each.to_us - each.from_us) / 1000);
         return out;
     }
 
@@ -525,6 +533,7 @@
     std::map<std::string, int> counts_;
     std::uint64_t last_event_ = 1, restarts_{};
     std::uint32_t board_{};
+    std::int64_t look_due_{};
     Time discovery_back_{};
     bool calming_{}, discovery_down_{};
 };
--- a/soak/run.hpp
+++ b/soak/run.hpp
@@ -29,6 +29,7 @@
     std::map<std::string, int> troubles;  // how often each one came
     std::map<std::string, std::uint64_t> failed_calls;
     std::uint64_t restarts{};
+    std::int64_t own_pause_ms{};  // the longest of this process
 };
 
 RunResult run(const RunPlan& plan);  // throws std::exception where a process can't be started
--- a/src/fastcgi/visit.cpp
+++ b/src/fastcgi/visit.cpp
@@ -79,8 +79,9 @@
       outbox_(std::make_shared<net::Outbox>(gateway_.world(), stream_)),
       intake_({.body = gateway_.admission().rules().body_bytes}),
       watch_(gateway_.world(), [this] { watch(); }),
-      left_(gateway_.world()),
-      waited_(waited) {}
+      left_(gateway_.world()) {
+    if (waited > Time{}) backlog_since_ = world().now() - waited;
+}
 
 net::World& Visit::world() const {
     return gateway_.world();
@@ -99,8 +100,9 @@
         const net::Moved moved = co_await stream_->read(net::asio::buffer(room));
         if (moved.error || leaving_) break;
         last_ = world().now();
+        note_backlog(moved.late);
         take_in({room.data(), moved.bytes});
-        spoke_before_ = true;
+        if (backlog_since_ && !stream_->unread()) backlog_since_.reset();
         // Answers to open jobs are bounded by how many may be open; refusals to one who reads none are not.
         if (outbox_->pending() <= pending_most) refusals_ = 0;
         if (refusals_ > refusals_most) {
@@ -121,9 +123,14 @@
     front_.visit_gone(self);
 }
 
+void Visit::note_backlog(Time late) {
+    const Time waited = gateway_.waited_unread(late);
+    if (waited > Time{} && !backlog_since_) backlog_since_ = world().now() - waited;
+}
+
 // How long the message that is whole now may have stood in its socket. If it is the last that came, the machine knows.
 Time Visit::waited_unread() {
-    const Time most = std::max(gateway_.waited_unread(), spoke_before_ ? Time{} : waited_);
+    const Time most = backlog_since_ ? world().now() - *backlog_since_ : Time{};
     if (most <= Time{} || intake_.ahead() > 0 || stream_->unread()) return most;
     return std::min(most, stream_->since_newest_bytes().value_or(most));
 }
--- a/src/fastcgi/visit.hpp
+++ b/src/fastcgi/visit.hpp
@@ -32,7 +32,7 @@
     net::Time unfinished_for() const;
     bool spoke() const { return spoke_; }  // a whole message has come
     net::Time last() const { return last_; }
-    bool unread() { return !leaving_ && stream_->unread(); }  // its client has said something that is not read yet
+    bool unread() override { return !leaving_ && stream_->unread(); }
     // Goes now, once what is pending has left.
     void leave();
     // The same without waiting for the client: it idles, and its descriptor is needed.
@@ -53,6 +53,7 @@
     bool answering(std::uint16_t number) const override { return open_.count(number) > 0; }
 
     net::Task<> live(std::shared_ptr<Visit> self);
+    void note_backlog(Time late);
     Time waited_unread();
     void take_in(std::string_view bytes);
     bool count_coming();
@@ -79,12 +80,11 @@
     net::Limit watch_;
     net::Signal left_;
     net::Time last_{}, stuck_since_{}, unread_since_{};
-    const net::Time waited_;
+    std::optional<net::Time> backlog_since_;  // since when what is read now may have stood unread
     std::size_t sent_then_{}, counted_{};
     std::size_t refusals_{};          // bytes of short words since less was pending
     std::size_t thrown_away_then_{};  // when a request was taken last
     bool spoke_{}, last_answer_{}, leaving_{}, gone_{};
-    bool spoke_before_{};  // bytes of it were read in an earlier turn
     bool unreadable_{};  // what comes is no FastCGI any more
     bool finishing_{};   // the connection goes once nothing is open on it
 };
--- a/src/gateway/edges.hpp
+++ b/src/gateway/edges.hpp
@@ -41,6 +41,8 @@
     virtual void begin(const Ward& ward, unsigned status, std::string_view passed) = 0;
     virtual void part(const Ward& ward, std::string bytes) = 0;
     virtual void end(const Ward& ward, bool whole) = 0;
+    // Whether its client has said something, its end perhaps, that is not read yet.
+    virtual bool unread() { return false; }
     // Waits until there is room for more parts; false when the client is gone.
     virtual net::Task<bool> room() = 0;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;
 
 // While requests are open this thread has something due so often: by how late it comes a pause of the process is noticed.
-constexpr Time pulse_every = 40ms, stood_still = 30ms;
+constexpr Time pulse_every = 40ms;
 constexpr Time carrying_out = 10ms;
 constexpr Time answer_grace = 58ms;  // rules.grace_to_answer as the protocol page gives it, and the 50 ms of sockets
 
@@ -195,9 +195,9 @@
 }
 
 // How long what is read now may have stood in its socket. Its client's time has run since it came.
-Time Gateway::waited_unread() const {
-    const Time late = world_.late();
-    return late > stood_still ? late + pulse_every : Time{};
+Time Gateway::waited_unread(Time late) const {
+    late = std::max(late, world_.late());
+    return late > net::World::stood_still ? late + pulse_every : Time{};
 }
 
 void Gateway::pulse() {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -80,7 +80,8 @@
     Ward* take(Wanted wanted, std::shared_ptr<Visit> visit);
     void client_left(Ward& ward);
     // How long what an edge reads now may have stood in its socket at the most: above 0 after a pause of the process.
-    Time waited_unread() const;
+    // `late`: what its read was told of that.
+    Time waited_unread(Time late = {}) const;
     // For the edge that follows the list; with `complete`, all others are gone.
     void fleet_told(const std::vector<fleet::Entry>& changed, bool complete);
     void fleet_gone(const std::vector<std::string>& names);
--- a/src/net/memory.cpp
+++ b/src/net/memory.cpp
@@ -29,8 +29,8 @@
     Task<Moved> read(asio::mutable_buffer into) override {
         const auto in = in_;
         for (;;) {
-            if (closed_) co_return Moved{asio::error::operation_aborted, 0};
-            if (in->broken) co_return Moved{in->broken, 0};
+            if (closed_) co_return Moved{asio::error::operation_aborted, 0, {}};
+            if (in->broken) co_return Moved{in->broken, 0, {}};
             if (!in->pieces.empty() && in->pieces.front().at <= world_.now()) {
                 std::string& bytes = in->pieces.front().bytes;
                 const std::size_t n = asio::buffer_copy(into, asio::buffer(bytes));
@@ -38,17 +38,17 @@
                 if (bytes.empty()) in->pieces.pop_front();
                 in->under_way -= n;
                 in->room.fire();
-                co_return Moved{{}, n};
+                co_return Moved{{}, n, {}};
             }
-            if (in->pieces.empty() && in->ends <= world_.now()) co_return Moved{asio::error::eof, 0};
+            if (in->pieces.empty() && in->ends <= world_.now()) co_return Moved{asio::error::eof, 0, {}};
             co_await in->arrival.wait();
         }
     }
 
     Moved write_now(std::span<const asio::const_buffer> from) override {
-        if (closed_) return {asio::error::operation_aborted, 0};
-        if (out_->broken) return {out_->broken, 0};
-        if (out_->ends != Time::max()) return {asio::error::broken_pipe, 0};
+        if (closed_) return {asio::error::operation_aborted, 0, {}};
+        if (out_->broken) return {out_->broken, 0, {}};
+        if (out_->ends != Time::max()) return {asio::error::broken_pipe, 0, {}};
         std::string bytes;
         for (const auto& part : from) {
             const std::size_t left = room_ - out_->under_way - bytes.size();
@@ -59,7 +59,7 @@
         out_->under_way += n;
         out_->pieces.push_back({world_.now() + world_.latency(), std::move(bytes)});
         ring(out_, out_->pieces.back().at);
-        return {{}, n};
+        return {{}, n, {}};
     }
 
     Task<Error> writable() override {
--- a/src/net/real.cpp
+++ b/src/net/real.cpp
@@ -24,8 +24,7 @@
 constexpr auto told = asio::as_tuple(asio::use_awaitable);
 
 constexpr auto shortage_pause = std::chrono::milliseconds(1);
-constexpr Time stood_still = std::chrono::milliseconds(30);  // so late, timers run only after what has come was read
-constexpr int input_rounds = 16;                             // turns given to reading then
+constexpr int input_rounds = 16;  // turns given to reading what has come, before what is due runs late
 
 // The kernel has no memory for the call now (send(2), recv(2)): the connection is as it was.
 bool short_of_memory(const Error& error) {
@@ -51,7 +50,8 @@
 
 class SocketStream : public Stream {
 public:
-    explicit SocketStream(tcp::socket socket) : socket_(std::move(socket)), pause_(socket_.get_executor()) {
+    SocketStream(const World& world, tcp::socket socket)
+        : world_(world), socket_(std::move(socket)), pause_(socket_.get_executor()) {
         Error ignored;
         socket_.set_option(tcp::no_delay(true), ignored);
         socket_.non_blocking(true, ignored);
@@ -59,13 +59,19 @@
 
     Task<Moved> read(asio::mutable_buffer into) override {
         // asio's own read is not used: it takes one that failed for the end of what has come, and waits for more.
+        std::optional<Time> readable_since;
         for (;;) {
             // Also where data is there already, this wait ends.
-            if (const auto [error] = co_await socket_.async_wait(tcp::socket::wait_read, told); error) co_return Moved{error, 0};
+            if (const auto [error] = co_await socket_.async_wait(tcp::socket::wait_read, told); error) co_return Moved{error, 0, {}};
+            if (!readable_since) readable_since = world_.now() - world_.late();
             Moved moved;
             do moved.bytes = socket_.read_some(asio::mutable_buffers_1(into), moved.error);
             while (moved.error == asio::error::interrupted);
-            if (moved.error == asio::error::would_block || moved.error == asio::error::try_again) continue;
+            if (moved.error == asio::error::would_block || moved.error == asio::error::try_again) {
+                readable_since.reset();
+                continue;
+            }
+            moved.late = world_.now() - *readable_since;
             if (!short_of_memory(moved.error)) co_return moved;
             asio::steady_timer pause(socket_.get_executor(), shortage_pause);
             co_await pause.async_wait(told);
@@ -123,6 +129,7 @@
     }
 
 private:
+    const World& world_;
     tcp::socket socket_;
     asio::steady_timer pause_;
     bool short_{};  // the last write found no memory
@@ -130,14 +137,14 @@
 
 class SocketListener : public Listener {
 public:
-    explicit SocketListener(tcp::acceptor acceptor) : acceptor_(std::move(acceptor)) {}
+    SocketListener(const World& world, tcp::acceptor acceptor) : world_(world), acceptor_(std::move(acceptor)) {}
 
     Task<Accepted> accept() override {
         for (;;) {
             auto [error, socket] = co_await acceptor_.async_accept(told);
             if (of_new_connection(error)) continue;
             if (error) co_return Accepted{error, nullptr};
-            co_return Accepted{{}, std::make_shared<SocketStream>(std::move(socket))};
+            co_return Accepted{{}, std::make_shared<SocketStream>(world_, std::move(socket))};
         }
     }
 
@@ -155,6 +162,7 @@
     }
 
 private:
+    const World& world_;
     tcp::acceptor acceptor_;
 };
 
@@ -192,7 +200,7 @@
     drop(ticket);
     if (late) co_return Connected{asio::error::timed_out, nullptr};
     if (broken) co_return Connected{broken, nullptr};
-    co_return Connected{{}, std::make_shared<SocketStream>(std::move(*socket))};
+    co_return Connected{{}, std::make_shared<SocketStream>(*this, std::move(*socket))};
 }
 
 World::Listened RealWorld::listen(const Address& at) {
@@ -208,7 +216,7 @@
     if (!out.error) acceptor.set_option(asio::socket_base::enable_connection_aborted(true), out.error);
     if (!out.error) acceptor.bind(end, out.error);
     if (!out.error) acceptor.listen(asio::socket_base::max_listen_connections, out.error);
-    if (!out.error) out.listener = std::make_shared<SocketListener>(std::move(acceptor));
+    if (!out.error) out.listener = std::make_shared<SocketListener>(*this, std::move(acceptor));
     return out;
 }
 
@@ -225,7 +233,8 @@
     timer_.expires_at(start_ + when);
     timer_.async_wait([this](Error error) {
         if (error) return;  // armed anew for something earlier
-        run_due_after(late() > stood_still ? input_rounds : 0);
+        if (is_behind()) note_behind();
+        run_due_after(is_behind() ? input_rounds : 0);
     });
 }
 
--- a/src/net/world.hpp
+++ b/src/net/world.hpp
@@ -41,6 +41,7 @@
 struct Moved {
     Error error;
     std::size_t bytes{};
+    Time late{};  // of a read: how far this thread was behind when the bytes could be read, and what was lost until they were
 };
 
 // One connection, both ways. At most one read and one wait for room at a time.
@@ -105,6 +106,11 @@
     // How long something due has been waiting to run: for so long, or longer, this thread has done nothing else, and what
     // comes in now may have come as early.
     Time late() const { return due_.empty() ? Time{} : std::max(Time{}, now() - due_.begin()->first.first); }
+    // So late that this thread stood still, or was kept busy: more than timers and turns are late by themselves.
+    static constexpr Time stood_still = std::chrono::milliseconds(30);
+    bool is_behind() const { return late() > stood_still; }
+    // It is, or was a moment ago: some of what came meanwhile may not be read yet.
+    bool was_behind() const { return is_behind() || (behind_until_ && now() < *behind_until_); }
     // Starts a coroutine. What it throws ends the program: nothing above is meant to throw there.
     void spawn(Task<> task);
 
@@ -112,12 +118,16 @@
     virtual void arm(Time when) = 0;
     // Runs what is due; returns when the next is, or Time::max().
     Time run_due(Time now);
+    // Notes that this thread is behind.
+    void note_behind() { behind_until_ = now() + catching_up; }
     // Called first in a world's destructor: what coroutines let go of from then on sets no due times.
     void end_due();
 
 private:
     std::map<Ticket, std::function<void()>> due_;
     std::uint64_t tickets_{};
+    static constexpr Time catching_up = std::chrono::milliseconds(100);
+    std::optional<Time> behind_until_;
     Time armed_ = Time::max();
     bool ending_{};
 };
--- a/src/runline/pool.cpp
+++ b/src/runline/pool.cpp
@@ -14,9 +14,9 @@
 using proof::Reached;
 
 constexpr std::size_t read_at_once = 8 * 1024, line_most = 1024;
-constexpr Time stood_still = 30ms;  // later than that, this thread did not run
 constexpr Time half_sent_for = 90ms;  // a client is gone for 0.1 s at most, and time left overstated by 0.15 s, when an attempt begins
-constexpr std::size_t most_borne = 256;  // remembered of a connection: resends follow within seconds
+constexpr std::size_t most_borne = 64;  // remembered of a connection: second answers come within milliseconds
+constexpr Time unheard_pause = 1ms;
 
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
@@ -131,10 +131,18 @@
     // can still be taken back, when its client leaves or its invoker drains.
     void put_on() {
         // What is known of clients, drains and this connection itself is old while what came meanwhile is not read.
-        if (world_.late() > stood_still) return put_on_soon();
+        if (world_.is_behind()) return put_on_soon({});
+        put_all();
+    }
+
+    void put_all() {
         full_ = false;
         for (std::size_t i = 0; i < out_.size() && alive_; ++i) {
             if (out_[i].whole_at != unwritten) continue;
+            if (!out_[i].errand->light() && client_unheard(*out_[i].errand)) {
+                put_on_soon(unheard_pause);
+                continue;
+            }
             if (!out_[i].errand->light() && (full_ || outbox_->pending() > 0)) continue;
             put(out_[i]);
         }
@@ -144,11 +152,16 @@
         world_.spawn(put_later(shared_from_this()));
     }
 
-    void put_on_soon() {
+    // Behind a pause of this thread its client may have left: its bytes are read first.
+    bool client_unheard(const Errand& errand) const {
+        return world_.was_behind() && errand.ward->visit && errand.ward->visit->unread();
+    }
+
+    void put_on_soon(net::Time pause) {
         if (std::exchange(put_on_due_, true)) return;
-        world_.at(world_.now(), [self = shared_from_this()] {
+        world_.at(world_.now() + pause, [self = shared_from_this()] {
             self->put_on_due_ = false;
-            if (self->alive_) self->put_on();
+            if (self->alive_) self->put_all();
         });
     }
 
--- a/tests/soak_judge_test.cpp
+++ b/tests/soak_judge_test.cpp
@@ -64,6 +64,10 @@
     EXPECT_EQ(rules_of(books), Rules{"late"});
     books.controllers[0][0].pauses.push_back({books.requests[1].sent_us, books.requests[1].sent_us + 1200 * ms});
     EXPECT_EQ(rules_of(books), Rules{});  // it stood still
+    std::swap(books.controllers[0][0].pauses, books.own_pauses);
+    EXPECT_EQ(rules_of(books), Rules{});  // its client did
+    books.own_pauses.front().to_us -= 300 * ms;
+    EXPECT_EQ(rules_of(books), Rules{"late"});
 }
 
 TEST(SoakJudge, NamesAnswersThatAreTooManyOrNotOurs) {
