--- a/soak/books.hpp
+++ b/soak/books.hpp
@@ -23,8 +23,8 @@
     std::int64_t answered_us = never;  // the end of its first answer
     std::int64_t cut_us = never;       // its connection ended before
     int answers{}, status{};
-    bool well = true;       // what came could be read, and a body was made for it
-    bool sent_again{};      // it crossed the end of a resting connection
+    bool well = true;         // what came could be read, and a body was made for it
+    bool sent_again{};        // it crossed the end of a resting connection
     bool with_the_process{};  // its controller was killed
 };
 
@@ -42,7 +42,7 @@
 // An invoker of the list, from its start on. A replaced one is another.
 struct Invoker {
     std::uint32_t number{};
-    std::int64_t started_us{};            // 0: long ago
+    std::int64_t started_us{};             // 0: long ago
     std::int64_t drained_told_us = never;  // the list said so, and every controller had been told or counts as told
 };
 
@@ -57,7 +57,7 @@
     std::map<std::uint32_t, Invoker> invokers;
     std::vector<Event> events;  // of all proxies and invokers, in any order
     SlowStart slow_start;
-    std::vector<Pause> own_pauses;  // of the process that plays the clients: what it saw then it saw late
+    std::vector<Pause> own_pauses;      // of the process that plays the clients: what it saw then it saw late
     std::uint64_t invariants_broken{};  // that controllers told of in their logs
 };
 
--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -36,7 +36,8 @@
         bool ended{};
     };
 
-    State(net::World& w, ClientPlan p, std::vector<Request>& b) : world(w), plan(std::move(p)), books(b), random(plan.seed), next_id(plan.first_id) {}
+    State(net::World& w, ClientPlan p, std::vector<Request>& b)
+        : world(w), plan(std::move(p)), books(b), random(plan.seed), next_id(plan.first_id) {}
 
     Task<> start(std::function<void()> ready) {
         const auto self = shared_from_this();
@@ -81,7 +82,8 @@
         it.use = kind < 0.7 ? UseOf::preview : kind < 0.85 ? UseOf::tagged : UseOf::ledger;
         it.controller = plan.number;
         it.life = plan.life;
-        it.budget_ms = random.next() < 0.03 ? 2 + static_cast<int>(random.next() * 30) : 300 + static_cast<int>(random.next() * 2200);
+        it.budget_ms = random.next() < 0.03 ? 2 + static_cast<int>(random.next() * 30)
+                                            : 300 + static_cast<int>(random.next() * 2200);
         const bool leaves = random.next() < 0.06, closes = leaves && random.next() < 0.5;
         const std::size_t at = books.size();
         books.push_back(it);
@@ -173,7 +175,9 @@
     // Whole records off the front of what has come.
     void take(std::string& got, Connection& it) {
         while (got.size() >= record_head) {
-            const auto byte = [&](std::size_t i) { return static_cast<std::size_t>(static_cast<unsigned char>(got[i])); };
+            const auto byte = [&](std::size_t i) {
+                return static_cast<std::size_t>(static_cast<unsigned char>(got[i]));
+            };
             const std::size_t length = byte(4) << 8 | byte(5), whole = record_head + length + byte(6);
             if (got.size() < whole) return;
             const int number = static_cast<int>(byte(2) << 8 | byte(3));
@@ -188,7 +192,8 @@
         const std::string text = std::exchange(it.text[number], {});
         it.text.erase(number);
         if (found == it.open.end()) {
-            if (const auto before = it_answered.find({&it, number}); before != it_answered.end()) ++books[before->second].answers;
+            if (const auto before = it_answered.find({&it, number}); before != it_answered.end())
+                ++books[before->second].answers;
             return;
         }
         Request& request = books[found->second];
@@ -260,7 +265,8 @@
         co_await send(at, true, std::nullopt);
         co_await world.sleep(5ms);
         for (const auto& each : connections)
-            if (each->alone && each->open.size() == 1 && each->open.begin()->second == at) each->outbox->send("\x07 no record at all");
+            if (each->alone && each->open.size() == 1 && each->open.begin()->second == at)
+                each->outbox->send("\x07 no record at all");
     }
 
     Task<> deaf(std::string text) {
@@ -308,14 +314,16 @@
 void Clients::flood_halves(int count) {
     std::string halves;
     for (int number = 1; number <= 32; ++number) {
-        const std::string whole = bytes::message(number, {{"SCRIPT_NAME", "/invoke/preview"}}, std::string(15'000, 'h'));
+        const std::string whole =
+            bytes::message(number, {{"SCRIPT_NAME", "/invoke/preview"}}, std::string(15'000, 'h'));
         halves += whole.substr(0, whole.size() - 8);
     }
     for (int i = 0; i < count; ++i) state_->world.spawn(state_->bad(halves));
 }
 
 void Clients::idle(int count) {
-    for (int i = 0; i < count; ++i) state_->world.spawn(state_->bad(i % 2 ? "" : bytes::message(1, {{"SCRIPT_NAME", "/_health"}})));
+    for (int i = 0; i < count; ++i)
+        state_->world.spawn(state_->bad(i % 2 ? "" : bytes::message(1, {{"SCRIPT_NAME", "/_health"}})));
 }
 
 void Clients::read_nothing(int count) {
--- a/soak/clients.hpp
+++ b/soak/clients.hpp
@@ -1,5 +1,5 @@
-// The clients of one controller in a soak run: a web server's connections that carry many requests, and bad clients beside
-// them. What became of each request is written in the books.
+// The clients of one controller in a soak run: a web server's connections that carry many requests, and bad clients
+// beside them. What became of each request is written in the books.
 #pragma once
 
 #include <functional>
@@ -34,8 +34,8 @@
 
     // Asks until the controller says that it is healthy, then starts to send. `ready` is called once.
     void begin(std::function<void()> ready);
-    void end_sending();   // no more requests; what is open is awaited
-    void killed();        // the controller was killed: what is open went with it
+    void end_sending();  // no more requests; what is open is awaited
+    void killed();       // the controller was killed: what is open went with it
     // Bad clients, each on connections of its own.
     void flood_halves(int connections);  // messages that never come whole
     void idle(int connections);          // that say nothing, or nothing more
--- a/soak/control.hpp
+++ b/soak/control.hpp
@@ -1,4 +1,5 @@
-// How a soak run leads its invokers and proxies while they run: a page of memory shared through a file, a slot an invoker.
+// How a soak run leads its invokers and proxies while they run: a page of memory shared through a file, a slot an
+// invoker.
 #pragma once
 
 #include <atomic>
@@ -19,9 +20,9 @@
 // Rates are in answers of a million.
 struct Slot {
     std::atomic<Passing> passing{Passing::on};
-    std::atomic<std::uint32_t> delay_ms{};       // of bytes towards the invoker
-    std::atomic<std::uint32_t> reset_count{};    // raised by one: the proxy resets all connections of the invoker
-    std::atomic<std::uint32_t> idle_end_count{}; // raised by one: those on which nothing is out are closed
+    std::atomic<std::uint32_t> delay_ms{};        // of bytes towards the invoker
+    std::atomic<std::uint32_t> reset_count{};     // raised by one: the proxy resets all connections of the invoker
+    std::atomic<std::uint32_t> idle_end_count{};  // raised by one: those on which nothing is out are closed
     std::atomic<std::uint32_t> failing{}, full{}, twice{}, unanswered{};
     std::atomic<std::uint32_t> slowness{100};  // percent of the ordinary run time
 };
--- a/soak/events.cpp
+++ b/soak/events.cpp
@@ -14,7 +14,8 @@
     return net::common_clock().count();
 }
 
-EventFile::EventFile(const std::string& path) : file_(::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600)) {
+EventFile::EventFile(const std::string& path)
+    : file_(::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600)) {
     if (file_ < 0) throw std::runtime_error(path + ": can't be written");
 }
 
@@ -22,7 +23,8 @@
     ::close(file_);
 }
 
-void EventFile::write(What what, std::uint64_t request, std::uint32_t invoker, std::int32_t value, std::uint32_t flags) {
+void EventFile::write(What what, std::uint64_t request, std::uint32_t invoker, std::int32_t value,
+                      std::uint32_t flags) {
     const Event event{now_us(), request, what, invoker, value, flags};
     if (::write(file_, &event, sizeof event) != sizeof event) throw std::runtime_error("events can't be written");
 }
--- a/soak/events.hpp
+++ b/soak/events.hpp
@@ -1,5 +1,5 @@
-// What the processes of a soak run saw, as fixed records on the machine's common monotonic clock: each process appends to
-// a file of its own with one write a record, so that a killed one leaves all that it told.
+// What the processes of a soak run saw, as fixed records on the machine's common monotonic clock: each process appends
+// to a file of its own with one write a record, so that a killed one leaves all that it told.
 #pragma once
 
 #include <cstdint>
@@ -11,11 +11,11 @@
 namespace plumkeel::soak {
 
 enum class What : std::uint32_t {
-    run_came,    // a proxy read an attempt whole from a controller; `value`: the time left that it tells, in ms
-    stop_came,   // and a word to give it up
-    run_began,   // an invoker took an attempt up
-    run_refused, // or turned it away, as never run
-    run_ended,   // it answered
+    run_came,     // a proxy read an attempt whole from a controller; `value`: the time left that it tells, in ms
+    stop_came,    // and a word to give it up
+    run_began,    // an invoker took an attempt up
+    run_refused,  // or turned it away, as never run
+    run_ended,    // it answered
 };
 
 struct Event {
@@ -34,7 +34,8 @@
     ~EventFile();
     EventFile(const EventFile&) = delete;
     EventFile& operator=(const EventFile&) = delete;
-    void write(What what, std::uint64_t request, std::uint32_t invoker, std::int32_t value = 0, std::uint32_t flags = 0);
+    void write(What what, std::uint64_t request, std::uint32_t invoker, std::int32_t value = 0,
+               std::uint32_t flags = 0);
 
 private:
     int file_;
--- a/soak/invoker.cpp
+++ b/soak/invoker.cpp
@@ -80,7 +80,8 @@
         if (word == "INFO" || word == "NOOP") {
             connection->outbox->send(id + " well l=active:" + std::to_string(active_) + ";waiting:0 0\r\n\r\n");
         } else if (word == "STOP") {
-            if (const auto found = connection->running.find(id); found != connection->running.end()) found->second->stopped = true;
+            if (const auto found = connection->running.find(id); found != connection->running.end())
+                found->second->stopped = true;
         } else if (word == "RUN") {
             world_.spawn(work(message, id, connection));
         }
@@ -120,9 +121,10 @@
         answer(connection, id, "data", "n=" + std::string(note), "made for " + id);
     }
 
-    void answer(const std::shared_ptr<Connection>& connection, const std::string& id, const std::string& word, const std::string& fields,
-                const std::string& body) {
-        const std::string text = id + " " + word + " " + fields + " " + std::to_string(body.size()) + "\r\n" + body + "\r\n";
+    void answer(const std::shared_ptr<Connection>& connection, const std::string& id, const std::string& word,
+                const std::string& fields, const std::string& body) {
+        const std::string text =
+            id + " " + word + " " + fields + " " + std::to_string(body.size()) + "\r\n" + body + "\r\n";
         connection->outbox->send(text);
         if (!happens(control_.slot(plan_.number).twice)) return;
         world_.at(world_.now() + 3ms, [connection, text] { connection->outbox->send(text); });
--- a/soak/invoker.hpp
+++ b/soak/invoker.hpp
@@ -1,5 +1,5 @@
-// An invoker of a soak run, in a process of its own: loads functions on demand, works for a while, and misbehaves as its
-// slot says. What it answers can be told from what any other would.
+// An invoker of a soak run, in a process of its own: loads functions on demand, works for a while, and misbehaves as
+// its slot says. What it answers can be told from what any other would.
 #pragma once
 
 #include <cstdint>
--- a/soak/judge.hpp
+++ b/soak/judge.hpp
@@ -10,7 +10,8 @@
 namespace plumkeel::soak {
 
 struct Break {
-    std::string rule;  // lost, late, twice_answered, unreadable, duplicate, refused_but_ran, drain, slow_start, after_client, deadline, crash, invariant
+    std::string rule;  // lost, late, twice_answered, unreadable, duplicate, refused_but_ran, drain, slow_start,
+                       // after_client, deadline, crash, invariant
     std::uint64_t request{};
     std::string what;
 };
--- a/soak/lines.hpp
+++ b/soak/lines.hpp
@@ -1,5 +1,5 @@
-// Messages between controllers and invokers, cut out of a stream of bytes: a line, and the body that its last word gives
-// the length of. Free of I/O.
+// Messages between controllers and invokers, cut out of a stream of bytes: a line, and the body that its last word
+// gives the length of. Free of I/O.
 #pragma once
 
 #include <charconv>
@@ -25,8 +25,8 @@
     return out;
 }
 
-// Takes the first message off the front of `got` once it is there whole. `has_body` says of its words whether the last is
-// a length.
+// Takes the first message off the front of `got` once it is there whole. `has_body` says of its words whether the last
+// is a length.
 template <class HasBody>
 std::optional<Message> take_message(std::string& got, HasBody has_body) {
     const auto end = got.find("\r\n");
@@ -55,7 +55,8 @@
 inline int figure_of(std::string_view fields, std::string_view name) {
     const auto at = fields.find(name);
     int out = -1;
-    if (at != std::string_view::npos) std::from_chars(fields.data() + at + name.size(), fields.data() + fields.size(), out);
+    if (at != std::string_view::npos)
+        std::from_chars(fields.data() + at + name.size(), fields.data() + fields.size(), out);
     return out;
 }
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,7 +1,7 @@
 // plumkeel-soak: the real program among dozens of processes and overlapping troubles, judged by the rules.
-#include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
+#include <CLI/CLI.hpp>
 #include <charconv>
 #include <filesystem>
 #include <iostream>
@@ -26,21 +26,26 @@
 bool tell(const RunPlan& plan, const RunResult& result) {
     const Verdict& verdict = result.verdict;
     for (std::size_t i = 0; i < verdict.breaks.size() && i < 20; ++i)
-        std::cout << fmt::format("broken: {} request {:016x}: {}\n", verdict.breaks[i].rule, verdict.breaks[i].request, verdict.breaks[i].what);
+        std::cout << fmt::format("broken: {} request {:016x}: {}\n", verdict.breaks[i].rule, verdict.breaks[i].request,
+                                 verdict.breaks[i].what);
     std::string troubles, calls;
     for (const auto& [name, count] : result.troubles) troubles += fmt::format(" {} {}", name, count);
     for (const auto& [name, count] : result.failed_calls) calls += fmt::format(" {} {}", name, count);
-    std::cout << fmt::format("seed {}: requests {}, served {}, refused {}, failed {}, excused {}, attempts {}, restarts {}, slow start {:.0f}%, own pause {} ms; troubles{}; failed calls{}\n",
-                             plan.seed, verdict.requests, verdict.served, verdict.refused, verdict.failed, verdict.excused, verdict.attempts, result.restarts,
-                             100 * verdict.nearest_slow_start, result.own_pause_ms, troubles, calls);
-    std::cout << fmt::format("seed {}: verdict: {}; breaks {}\n", plan.seed, verdict.breaks.empty() ? "rules kept" : "rules broken", verdict.breaks.size());
+    std::cout << fmt::format(
+        "seed {}: requests {}, served {}, refused {}, failed {}, excused {}, attempts {}, restarts {}, slow start "
+        "{:.0f}%, own pause {} ms; troubles{}; failed calls{}\n",
+        plan.seed, verdict.requests, verdict.served, verdict.refused, verdict.failed, verdict.excused, verdict.attempts,
+        result.restarts, 100 * verdict.nearest_slow_start, result.own_pause_ms, troubles, calls);
+    std::cout << fmt::format("seed {}: verdict: {}; breaks {}\n", plan.seed,
+                             verdict.breaks.empty() ? "rules kept" : "rules broken", verdict.breaks.size());
     return verdict.breaks.empty();
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-    CLI::App app("plumkeel-soak: the real program among dozens of processes and overlapping troubles, judged by the rules");
+    CLI::App app(
+        "plumkeel-soak: the real program among dozens of processes and overlapping troubles, judged by the rules");
     app.require_subcommand(1);
 
     InvokerPlan invoker;
@@ -72,9 +77,15 @@
     run_command->add_option("--controllers", plan.controllers)->capture_default_str()->check(CLI::Range(1, 60));
     run_command->add_option("--invokers", plan.invokers)->capture_default_str()->check(CLI::Range(1, 40));
     run_command->add_option("--proxies", plan.proxies)->capture_default_str()->check(CLI::Range(1, 16));
-    run_command->add_option("--seconds", plan.seconds, "of troubles")->capture_default_str()->check(CLI::Range(1, 3600));
-    run_command->add_option("--gap", plan.gap_ms, "ms at the most between the begins of two troubles")->capture_default_str()->check(CLI::Range(50, 60'000));
-    run_command->add_option("--rate", plan.per_second, "requests a second to each controller")->capture_default_str()->check(CLI::Range(0.1, 500.0));
+    run_command->add_option("--seconds", plan.seconds, "of troubles")
+        ->capture_default_str()
+        ->check(CLI::Range(1, 3600));
+    run_command->add_option("--gap", plan.gap_ms, "ms at the most between the begins of two troubles")
+        ->capture_default_str()
+        ->check(CLI::Range(50, 60'000));
+    run_command->add_option("--rate", plan.per_second, "requests a second to each controller")
+        ->capture_default_str()
+        ->check(CLI::Range(0.1, 500.0));
     run_command->add_option("--folder", plan.folder, "made anew")->capture_default_str();
     run_command->add_option("--program", plan.program)->capture_default_str();
     run_command->add_option("--preload", plan.preload)->capture_default_str();
--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -23,7 +23,8 @@
 
 class Proxy {
 public:
-    explicit Proxy(const ProxyPlan& plan) : plan_(plan), events_(plan.record), control_(plan.control, ControlFile::Mode::open) {}
+    explicit Proxy(const ProxyPlan& plan)
+        : plan_(plan), events_(plan.record), control_(plan.control, ControlFile::Mode::open) {}
 
     net::Error open() {
         for (const auto& way : plan_.ways) {
@@ -93,7 +94,8 @@
             got += bytes;
             const bool unsure = world_.now() < unsure_until || slot(it->invoker).passing == Passing::unread;
             note(got, *it, unsure ? held_up : 0);
-            if (const std::uint32_t delay = slot(it->invoker).delay_ms; delay > 0) co_await world_.sleep(std::chrono::milliseconds(delay));
+            if (const std::uint32_t delay = slot(it->invoker).delay_ms; delay > 0)
+                co_await world_.sleep(std::chrono::milliseconds(delay));
             if (slot(it->invoker).passing == Passing::held || !it->held_far.empty())
                 it->held_far += bytes;
             else
@@ -107,7 +109,8 @@
             if (message->words.size() < 2) continue;
             const std::string& id = message->words[1];
             if (message->words.front() == "RUN") {
-                events_.write(What::run_came, request_of(id), it.invoker, figure_of(message->words[2], "patience="), flags);
+                events_.write(What::run_came, request_of(id), it.invoker, figure_of(message->words[2], "patience="),
+                              flags);
                 it.out.insert(id);
             } else if (message->words.front() == "STOP") {
                 events_.write(What::stop_came, request_of(id), it.invoker, 0, flags);
@@ -124,7 +127,8 @@
             if (moved.error) break;
             const std::string_view bytes(room.data(), moved.bytes);
             got += bytes;
-            while (const auto message = take_message(got, [](const auto&) { return true; })) it->out.erase(message->words.front());
+            while (const auto message = take_message(got, [](const auto&) { return true; }))
+                it->out.erase(message->words.front());
             if (slot(it->invoker).passing == Passing::held || !it->held_near.empty())
                 it->held_near += bytes;
             else
@@ -173,7 +177,8 @@
     EventFile events_;
     ControlFile control_;
     std::set<std::shared_ptr<Connection>> connections_;
-    std::map<std::uint32_t, std::pair<std::uint32_t, std::uint32_t>> seen_;  // of each invoker: resets and idle ends asked for
+    std::map<std::uint32_t, std::pair<std::uint32_t, std::uint32_t>>
+        seen_;  // of each invoker: resets and idle ends asked for
 };
 
 }  // namespace
--- a/soak/run.hpp
+++ b/soak/run.hpp
@@ -14,12 +14,12 @@
     std::uint64_t seed = 1;
     std::uint32_t controllers = 8, invokers = 16, proxies = 4;
     int seconds = 20;
-    int gap_ms = 900;          // at the most between the begins of two troubles
-    double per_second = 12;    // requests to each controller
-    std::string folder;         // made anew; holds logs and events
-    std::string self;           // this program, which is the invokers and proxies too
-    std::string program;        // plumkeel
-    std::string preload;        // the library of faults
+    int gap_ms = 900;            // at the most between the begins of two troubles
+    double per_second = 12;      // requests to each controller
+    std::string folder;          // made anew; holds logs and events
+    std::string self;            // this program, which is the invokers and proxies too
+    std::string program;         // plumkeel
+    std::string preload;         // the library of faults
     std::set<std::string> only;  // troubles; empty: all
     bool quiet{};
 };
--- a/src/gateway/invariants.cpp
+++ b/src/gateway/invariants.cpp
@@ -5,9 +5,9 @@
 namespace plumkeel::gateway {
 
 std::string_view word_of(Invariant invariant) {
-    static constexpr std::string_view words[] = {"attempt_after_end",  "attempt_past_deadline", "too_many_attempts",
-                                                 "two_attempts_out",   "unsafe_repeat",         "attempt_to_drained",
-                                                 "closed_with_requests", "answered_late",       "refused_what_may_have_run"};
+    static constexpr std::string_view words[] = {
+        "attempt_after_end",  "attempt_past_deadline", "too_many_attempts", "two_attempts_out",         "unsafe_repeat",
+        "attempt_to_drained", "closed_with_requests",  "answered_late",     "refused_what_may_have_run"};
     static_assert(std::size(words) == static_cast<std::size_t>(Invariant::count_));
     return words[static_cast<std::size_t>(invariant)];
 }
--- a/src/gateway/invariants.hpp
+++ b/src/gateway/invariants.hpp
@@ -15,14 +15,14 @@
 namespace plumkeel::gateway {
 
 enum class Invariant {
-    attempt_after_end,        // it left although its request was over: answered, or its client gone
-    attempt_past_deadline,    // it left, or may last, past its client's time
-    too_many_attempts,        // more than the settings allow for one request
-    two_attempts_out,         // where the settings allow one
-    unsafe_repeat,            // an earlier one may have run, and this would take effect again
-    attempt_to_drained,       // the list says that its invoker takes no more
-    closed_with_requests,     // a client's connection was ended by us with requests open on it
-    answered_late,            // the final answer came over the grace after the client's time
+    attempt_after_end,          // it left although its request was over: answered, or its client gone
+    attempt_past_deadline,      // it left, or may last, past its client's time
+    too_many_attempts,          // more than the settings allow for one request
+    two_attempts_out,           // where the settings allow one
+    unsafe_repeat,              // an earlier one may have run, and this would take effect again
+    attempt_to_drained,         // the list says that its invoker takes no more
+    closed_with_requests,       // a client's connection was ended by us with requests open on it
+    answered_late,              // the final answer came over the grace after the client's time
     refused_what_may_have_run,  // a promise of no effect that nothing proves
     count_,
 };
@@ -49,8 +49,8 @@
     std::array<std::uint64_t, static_cast<std::size_t>(Invariant::count_)> counts_{};
 };
 
-// Rule 2: whether an attempt of a request of this use may leave for `to` now, after `earlier` (which may have run, or is
-// out) left at `sent`.
+// Rule 2: whether an attempt of a request of this use may leave for `to` now, after `earlier` (which may have run, or
+// is out) left at `sent`.
 bool may_repeat(const UseCase& use, const Invoker& earlier, Time sent, const Invoker& to, Time now);
 // Rule 2: whether the client may be told that nothing took effect, after an attempt that may have run.
 bool may_promise_no_effect(const UseCase& use, Time sent, Time now);
--- a/stand/faults/fault_plan.cpp
+++ b/stand/faults/fault_plan.cpp
@@ -13,7 +13,8 @@
     const int file = ::open(path_.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
     if (file < 0) throw std::runtime_error(path_ + ": can't be made");
     void* memory = MAP_FAILED;
-    if (::ftruncate(file, sizeof(Plan)) == 0) memory = ::mmap(nullptr, sizeof(Plan), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
+    if (::ftruncate(file, sizeof(Plan)) == 0)
+        memory = ::mmap(nullptr, sizeof(Plan), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
     ::close(file);
     if (memory == MAP_FAILED) throw std::runtime_error(path_ + ": can't be mapped");
     plan_ = new (memory) Plan;
--- a/stand/faults/fault_plan.hpp
+++ b/stand/faults/fault_plan.hpp
@@ -1,5 +1,5 @@
-// What a preloaded fault library (fault_preload.cpp) does to a process, and what it has done: one page of memory, shared
-// through a file, that a test maps and changes while the process runs.
+// What a preloaded fault library (fault_preload.cpp) does to a process, and what it has done: one page of memory,
+// shared through a file, that a test maps and changes while the process runs.
 #pragma once
 
 #include <atomic>
--- a/stand/faults/fault_preload.cpp
+++ b/stand/faults/fault_preload.cpp
@@ -1,6 +1,6 @@
-// A library to be preloaded into one process (LD_PRELOAD): makes its system calls fail, or move fewer bytes, as often as
-// the process's plan says, and steps its wall clock. Only errors that the manual pages document are injected, by the plan.
-// Without a plan in the environment it changes nothing.
+// A library to be preloaded into one process (LD_PRELOAD): makes its system calls fail, or move fewer bytes, as often
+// as the process's plan says, and steps its wall clock. Only errors that the manual pages document are injected, by the
+// plan. Without a plan in the environment it changes nothing.
 #include <dlfcn.h>
 #include <fcntl.h>
 #include <sys/epoll.h>
@@ -201,7 +201,8 @@
     const int result = next(clock, at);
     const bool wall = clock == CLOCK_REALTIME || clock == CLOCK_REALTIME_COARSE;
     if (result != 0 || !wall || !plan()) return result;
-    const std::int64_t us = static_cast<std::int64_t>(at->tv_sec) * million + at->tv_nsec / 1000 + plan()->wall_ahead_us;
+    const std::int64_t us =
+        static_cast<std::int64_t>(at->tv_sec) * million + at->tv_nsec / 1000 + plan()->wall_ahead_us;
     at->tv_sec = us / million;
     at->tv_nsec = us % million * 1000;
     return 0;
--- a/stand/faults/process.cpp
+++ b/stand/faults/process.cpp
@@ -13,7 +13,8 @@
 
 namespace plumkeel::faults {
 
-Process::Process(std::vector<std::string> command, const std::map<std::string, std::string>& environment, const std::string& log) {
+Process::Process(std::vector<std::string> command, const std::map<std::string, std::string>& environment,
+                 const std::string& log) {
     std::vector<std::string> settings;
     for (char** each = environ; *each; ++each) {
         const std::string setting = *each;
@@ -32,7 +33,8 @@
     ::posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, to.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     // Our own sockets are none of its business: a connection that it inherited would not end with ours.
     ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    const int failed = ::posix_spawn(&pid_, command.front().c_str(), &actions, nullptr, pointers(command).data(), pointers(settings).data());
+    const int failed = ::posix_spawn(&pid_, command.front().c_str(), &actions, nullptr, pointers(command).data(),
+                                     pointers(settings).data());
     ::posix_spawn_file_actions_destroy(&actions);
     if (failed) throw std::system_error(failed, std::generic_category(), command.front());
 }
@@ -57,7 +59,8 @@
 
 std::optional<Ending> Process::wait(std::chrono::milliseconds limit) {
     const auto until = std::chrono::steady_clock::now() + limit;
-    while (!ended() && std::chrono::steady_clock::now() < until) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    while (!ended() && std::chrono::steady_clock::now() < until)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
     return ending_;
 }
 
--- a/stand/faults/process.hpp
+++ b/stand/faults/process.hpp
@@ -20,7 +20,8 @@
 class Process {
 public:
     // `environment` is added to our own. Its standard error goes to `log`, or nowhere. Throws std::system_error.
-    Process(std::vector<std::string> command, const std::map<std::string, std::string>& environment, const std::string& log = {});
+    Process(std::vector<std::string> command, const std::map<std::string, std::string>& environment,
+            const std::string& log = {});
     ~Process();
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
--- a/tests/invariants_test.cpp
+++ b/tests/invariants_test.cpp
@@ -1,7 +1,8 @@
 // The checks at run time: what they count, what they tell, and which repeats and promises they let pass.
+#include "gateway/invariants.hpp"
+
 #include <gtest/gtest.h>
 
-#include "gateway/invariants.hpp"
 #include "net/memory.hpp"
 
 namespace plumkeel::gateway {
