A pause counts for what stood in the backlog, also where accepting fails or nothing was open

Cause: Front counted the backlog from when accepting failed; and with no request open nothing was due for up to 250 ms, so that a pause was taken to be that much shorter. Change: the lateness is noted when accept() returns, whatever it returns; with no request open the longest quiet time is added.

--- a/src/fastcgi/front.cpp
+++ b/src/fastcgi/front.cpp
@@ -30,8 +30,9 @@
     const auto listener = listener_;
     Admission& admission = gateway_.admission();
     for (;;) {
-        note_backlog();
+        if (!listener->waiting()) backlog_since_.reset();
         auto accepted = co_await listener->accept();
+        note_backlog(gateway_.waited_unread());
         if (accepted.error == net::asio::error::operation_aborted) co_return;
         if (accepted.error) {
             // The connection stays in the backlog, so accepting at once again would spin: the next try comes when a
@@ -55,10 +56,8 @@
     }
 }
 
-// Since when connections may have stood in the backlog: while nothing was accepted, or while this thread stood still.
-void Front::note_backlog() {
-    if (!listener_->waiting()) backlog_since_.reset();
-    const net::Time waited = gateway_.waited_unread();
+// Connections may have stood in the backlog for so long, and longer: while this thread stood still or nothing was accepted.
+void Front::note_backlog(net::Time waited) {
     if (waited > net::Time{} && !backlog_since_) backlog_since_ = gateway_.world().now() - waited;
 }
 
@@ -67,7 +66,7 @@
 }
 
 net::Task<> Front::visit_leaves(net::Time at_most) {
-    if (!backlog_since_) backlog_since_ = gateway_.world().now();
+    note_backlog(net::Time(1));
     auto ticket = gateway_.world().at(gateway_.world().now() + at_most, [this] { visit_left_.fire(); });
     co_await visit_left_.wait();
     gateway_.world().drop(ticket);
--- a/src/fastcgi/front.hpp
+++ b/src/fastcgi/front.hpp
@@ -39,7 +39,7 @@
     // Waits until a connection has left, or for so long.
     net::Task<> visit_leaves(net::Time at_most);
     net::Task<> make_place();
-    void note_backlog();
+    void note_backlog(net::Time waited);
     net::Time waited_unaccepted() const;
     std::shared_ptr<Visit> least_needed() const;
     void shut(int looks);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 
 // While requests are open this thread has something due so often: by how late it comes a pause of the process is noticed.
 constexpr Time pulse_every = 40ms;
+constexpr Time longest_quiet = 250ms;  // with no request open: sweeps of the module and looks of its host
 constexpr Time carrying_out = 10ms;
 constexpr Time answer_grace = 58ms;  // rules.grace_to_answer as the protocol page gives it, and the 50 ms of sockets
 
@@ -197,7 +198,8 @@
 // How long what is read now may have stood in its socket. Its client's time has run since it came.
 Time Gateway::waited_unread(Time late) const {
     late = std::max(late, world_.late());
-    return late > net::World::stood_still ? late + pulse_every : Time{};
+    if (late <= net::World::stood_still) return {};
+    return late + (pulse_.second ? pulse_every : longest_quiet);  // the pause began up to so long before something was due
 }
 
 void Gateway::pulse() {
