--- a/src/net/memory.hpp
+++ b/src/net/memory.hpp
@@ -31,6 +31,8 @@
     void narrow(const Address& at, std::size_t room) { narrow_[at.text()] = room; }
     // The wall clock steps by so much, either way; now() runs on.
     void step_wall(Time by) { wall_ahead_ += by; }
+    // The thread stands still for so long, in the middle of whatever it does.
+    void stand_still(Time span) { now_ += span; }
     // From now on connecting to this address fails at once with this error of the machine's own; none: it works again.
     void fail_connects(const Address& to, Error error) { failing_[to.text()] = error; }
 
--- a/tests/platform_world.hpp
+++ b/tests/platform_world.hpp
@@ -246,7 +246,10 @@
         config.charter.log.file = "/dev/null";
         config.charter.pool.most_invokers = most_invokers;
         log = std::make_unique<Log>(world, config.charter.log);
-        host = std::make_unique<Host>(world, config, *log, [this](const trace::Record& r) { trace.push_back(r); });
+        host = std::make_unique<Host>(world, config, *log, [this](const trace::Record& r) {
+            trace.push_back(r);
+            if (on_record) on_record(r);
+        });
         ASSERT_FALSE(host->open());
     }
     Peer& peer(std::vector<Does> does = {Does::answers}) {
@@ -287,6 +290,7 @@
     }
 
     std::vector<trace::Record> trace;
+    std::function<void(const trace::Record&)> on_record;  // while a call of the module is told
     net::MemoryWorld world;
     Config config;
     std::size_t most_invokers = Charter{}.pool.most_invokers;
--- a/tests/rare_events_test.cpp
+++ b/tests/rare_events_test.cpp
@@ -146,6 +146,25 @@
     EXPECT_GE(honoured(), 40u);
 }
 
+// The thread stands still between the decision to send a request and its carrying out: the server is told what is left
+// after that.
+TEST_F(PlatformTest, APauseBetweenDecidingAndSendingLeavesTheServerNoMoreTime) {
+    Peer& only = peer();
+    open(patient());
+    Client& one = client(10ms, {{0ms, message(1, job_fields(hex16(1), hex16(1), 3000))}});
+    bool paused = false;
+    on_record = [&](const trace::Record& record) {
+        if (record.job == 0 || std::exchange(paused, true)) return;
+        world.stand_still(1s);
+    };
+    world.run(5s);
+    ASSERT_TRUE(paused);
+    ASSERT_EQ(only.lines.size(), 1u);
+    const int patience = std::stoi(only.lines[0].substr(only.lines[0].find("patience=") + 9));
+    EXPECT_LE(patience, 2000 + 150);
+    EXPECT_EQ(one.answer(1).status(), "200");
+}
+
 // ---------------------------------------------------------------- discovery
 
 // Discovery is crowded: it says nothing on a connection for its first 2.5 s. Whoever gives up sooner, and comes again,
