What was decided is counted from the decision, and what was read from the reading

Cause: an attempt's limit ran from when it was carried out, and a request's time left from when the module was told of it; a pause of the process in between was given to the server on top. Change: the gateway keeps the moment at which it called the module, and an edge the moment at which it read; the run-time check of deadlines needs no slack any more.

--- a/src/fastcgi/visit.cpp
+++ b/src/fastcgi/visit.cpp
@@ -100,6 +100,7 @@
         const net::Moved moved = co_await stream_->read(net::asio::buffer(room));
         if (moved.error || leaving_) break;
         last_ = world().now();
+        read_at_ = last_;
         note_backlog(moved.late);
         take_in({room.data(), moved.bytes});
         if (backlog_since_ && !stream_->unread()) backlog_since_.reset();
@@ -239,6 +240,7 @@
     }
     thrown_away_then_ = intake_.thrown_away();
     wanted.waited = waited_unread();
+    wanted.read_at = read_at_;
     wanted.held = message.body.size();
     wanted.body = std::move(message.body);
     wanted.place = message.number;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -14,7 +14,6 @@
 // While requests are open this thread has something due so often: by how late it comes a pause of the process is noticed.
 constexpr Time pulse_every = 40ms;
 constexpr Time longest_quiet = 250ms;  // with no request open: sweeps of the module and looks of its host
-constexpr Time carrying_out = 10ms;
 constexpr Time answer_grace = 58ms;  // rules.grace_to_answer as the protocol page gives it, and the 50 ms of sockets
 
 class HopErrand : public Errand {
@@ -153,7 +152,8 @@
 void Gateway::feed(Call call) {
     assert(!feeding_);  // carrying out never calls back before it returns
     feeding_ = true;
-    const Results results = call(controller_, world_.now());
+    fed_at_ = world_.now();
+    const Results results = call(controller_, fed_at_);
     carry_out(results);
     feeding_ = false;
 }
@@ -170,7 +170,8 @@
     ward.id = ++ids_;
     ward.use_case = wanted.use_case;
     ward.function = function.get();
-    ward.time_left = std::max(Time{}, wanted.left - wanted.waited);
+    const Time since_read = wanted.read_at ? world_.now() - *wanted.read_at : Time{};
+    ward.time_left = std::max(Time{}, wanted.left - wanted.waited - since_read);
     ward.again = wanted.again;
     if (const auto tenant = tenants_.find(wanted.tenant); tenant != tenants_.end()) {
         ward.tenant = &tenant->second;
@@ -392,7 +393,7 @@
 
 void Gateway::dispatch(std::shared_ptr<Errand> errand, Post& post, Time within) {
     errand->invoker = post.name;
-    errand->until = world_.now() + within;
+    errand->until = fed_at_ + within;  // from when it was decided: a pause since then is its own
     post.pool->send(std::move(errand));
 }
 
@@ -434,8 +435,7 @@
     };
     const Allowances& may = charter_.allowances;
     invariants_.check(!ward.answered() && ward.visit, Invariant::attempt_after_end, fields);
-    // Its limit runs from when the decision was carried out, which is a little after it was made.
-    invariants_.check(now <= ward.expires && errand.until <= ward.expires + carrying_out, Invariant::attempt_past_deadline, fields);
+    invariants_.check(now <= ward.expires && errand.until <= ward.expires, Invariant::attempt_past_deadline, fields);
     invariants_.check(hop.number < may.hops, Invariant::too_many_attempts, fields);
     invariants_.check(post.ready && post.listed, Invariant::attempt_to_drained, fields);
     for (const auto& other : ward.errands) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -32,6 +32,7 @@
     std::string function, tenant, mark, passed;  // `passed`: the fields that go on to the invoker
     Time left{};    // when it came
     Time waited{};  // since then, unread
+    std::optional<Time> read_at;
     int lanes = 1;
     std::optional<int> memory;
     std::optional<Time> told_load;
@@ -160,6 +161,7 @@
     net::World::Ticket wake_{};
     Time wake_at_ = Time::max();
     bool feeding_{};
+    Time fed_at_{};  // when the module was called last: what it decided is counted from then
     std::function<void()> then_;
 };
 
