--- a/tests/process_faults_test.cpp
+++ b/tests/process_faults_test.cpp
@@ -404,6 +404,26 @@
     for (Client* each : all) EXPECT_EQ(each->answer(1).times, 1);
 }
 
+// An answer could not leave before a pause, for want of memory, nor at once after it: its client has read all that
+// there was, and is not taken for one that reads nothing.
+TEST_F(ProcessFaultsTest, AnAnswerThatCouldNotLeaveBeforeAPauseIsNotTakenForUnread) {
+    Peer& a = peer(11);
+    Peer& b = peer(12);
+    a.takes = b.takes = 100ms;
+    start(config());
+    wait_until_ready();
+    Client& one = client(500ms, {{0ms, message(1, job_fields(hex16(1), hex16(1)))},
+                                 {500ms, message(2, job_fields(hex16(2), hex16(1)))},
+                                 {2s, message(3, job_fields(hex16(3), hex16(1), 2900))}});
+    at(1050ms, [&] { plan.fail(Call::send, 1'000'000, {ENOBUFS}); });
+    at(1300ms, [&] { process->signal(SIGSTOP); });
+    at(3500ms, [&] { process->signal(SIGCONT); });
+    at(3550ms, [&] { plan.heal(); });
+    run(6s);
+    EXPECT_EQ(one.answer(2).times, 1);
+    EXPECT_EQ(one.answer(3).times, 1);
+}
+
 // Invokers close a connection that idled at the moment when a request comes that may run but once. It does not leave on
 // what has been closed already.
 TEST_F(ProcessFaultsTest, ARequestDoesNotLeaveOnAConnectionThatWasClosedWhileItIdled) {
