What could not leave while the process stood still is not taken for unread

Cause: Visit::watch() counted 2 s of its own pause against a client that reads, and reset its connection with all that was open there. Change: a look that comes late starts the count again; a reset of this kind is logged with what was open.

--- a/src/fastcgi/visit.cpp
+++ b/src/fastcgi/visit.cpp
@@ -88,7 +88,7 @@
 }
 
 void Visit::start() {
-    last_ = stuck_since_ = unread_since_ = world().now();
+    last_ = stuck_since_ = unread_since_ = watched_at_ = world().now();
     watch_.set(last_ + watch_every);
     world().spawn(live(shared_from_this()));
 }
@@ -419,10 +419,15 @@
 void Visit::watch() {
     const auto& rules = gateway_.admission().rules();
     const Time now = world().now();
-    if (outbox_->pending() == 0 || outbox_->sent() != sent_then_) unread_since_ = now;
+    // While this thread stood still nothing could leave: that is not the client's doing.
+    const bool late = now - watched_at_ > watch_every + net::World::stood_still;
+    watched_at_ = now;
+    if (late || outbox_->pending() == 0 || outbox_->sent() != sent_then_) unread_since_ = now;
     sent_then_ = outbox_->sent();
     if (now - unread_since_ >= rules.unread_for) {
         gateway_.admission().count(Objection::unread_answer);
+        gateway_.log().line(Log::Level::info, "client_reads_nothing",
+                            {{"connection", number_}, {"open", open_.size()}, {"pending_bytes", outbox_->pending()}});
         outbox_->abandon();
         stream_->reset();
         return;
--- a/src/fastcgi/visit.hpp
+++ b/src/fastcgi/visit.hpp
@@ -79,7 +79,7 @@
     std::map<std::uint16_t, net::Time> begun_;   // since when, of those that are coming
     net::Limit watch_;
     net::Signal left_;
-    net::Time read_at_{}, last_{}, stuck_since_{}, unread_since_{};
+    net::Time read_at_{}, last_{}, stuck_since_{}, unread_since_{}, watched_at_{};
     std::optional<net::Time> backlog_since_;  // since when what is read now may have stood unread
     std::size_t sent_then_{}, counted_{};
     std::size_t refusals_{};          // bytes of short words since less was pending
