--- a/soak/clients.cpp
+++ b/soak/clients.cpp
@@ -236,16 +236,19 @@
         std::erase_if(it_answered, [&](const auto& each) { return each.first.first == it.get(); });
     }
 
-    // A connection of a bad client, which says this and then nothing, and reads until it is closed.
-    Task<> bad(std::string text) {
+    enum class Reading { until_closed, nothing };
+    // A connection of a bad client, which says this and then nothing: it reads until it is closed, or nothing for a
+    // while.
+    Task<> bad(std::string text, Reading reading) {
         const auto self = shared_from_this();
         const auto connected = co_await world.connect(plan.controller, connect_limit);
         if (connected.error) co_return;
         const auto stream = connected.stream;
         const auto outbox = std::make_shared<net::Outbox>(world, stream);
         outbox->send(std::move(text));
+        if (reading == Reading::nothing) co_await world.sleep(deaf_for);
         std::vector<char> room(4096);
-        while (!(co_await stream->read(net::asio::buffer(room))).error) {
+        while (reading == Reading::until_closed && !(co_await stream->read(net::asio::buffer(room))).error) {
         }
         outbox->abandon();
         stream->close();
@@ -269,18 +272,6 @@
                 each->outbox->send("\x07 no record at all");
     }
 
-    Task<> deaf(std::string text) {
-        const auto self = shared_from_this();
-        const auto connected = co_await world.connect(plan.controller, connect_limit);
-        if (connected.error) co_return;
-        const auto stream = connected.stream;
-        const auto outbox = std::make_shared<net::Outbox>(world, stream);
-        outbox->send(std::move(text));
-        co_await world.sleep(deaf_for);
-        outbox->abandon();
-        stream->close();
-    }
-
     net::World& world;
     const ClientPlan plan;
     std::vector<Request>& books;
@@ -318,18 +309,19 @@
             bytes::message(number, {{"SCRIPT_NAME", "/invoke/preview"}}, std::string(15'000, 'h'));
         halves += whole.substr(0, whole.size() - 8);
     }
-    for (int i = 0; i < count; ++i) state_->world.spawn(state_->bad(halves));
+    for (int i = 0; i < count; ++i) state_->world.spawn(state_->bad(halves, State::Reading::until_closed));
 }
 
 void Clients::idle(int count) {
     for (int i = 0; i < count; ++i)
-        state_->world.spawn(state_->bad(i % 2 ? "" : bytes::message(1, {{"SCRIPT_NAME", "/_health"}})));
+        state_->world.spawn(
+            state_->bad(i % 2 ? "" : bytes::message(1, {{"SCRIPT_NAME", "/_health"}}), State::Reading::until_closed));
 }
 
 void Clients::read_nothing(int count) {
     std::string text;
     for (int i = 0; i < 400; ++i) text += bytes::message(1 + i % 20, {{"SCRIPT_NAME", "/invoke/nothing"}});
-    for (int i = 0; i < count; ++i) state_->world.spawn(state_->deaf(text));
+    for (int i = 0; i < count; ++i) state_->world.spawn(state_->bad(text, State::Reading::nothing));
 }
 
 void Clients::malformed_behind_a_request() {
