--- a/review/standins.py
+++ b/review/standins.py
@@ -166,6 +166,14 @@
         writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         writer.transport.abort()
 
+    def end(self):
+        """The process ends: it listens no more, and its connections are reset. Returns the ids of the runs cut off."""
+        self.server.close()
+        cut_off = [run_id for tasks in self.writers.values() for run_id in tasks]
+        for writer in list(self.writers):
+            self.reset(writer)
+        return cut_off
+
     def writer_of(self, run_id):
         return next((writer for writer, tasks in self.writers.items() if run_id in tasks), None)
 
