Open further watches beside a silent one instead of waiting ever longer for it

Cause: Watcher::receive() doubled the wait for a connection's first event up to 14.4 s, so a watch opened in the outage was kept long after it. The wait also outlived a change of the address, and a slow new address was given up at 1.8 s.

Change: a silent connection stays open for 14.4 s, as a slow service may still send on it, and others are opened beside it, every 1.8 s plus backoff, four at most. The first that sends an event is kept. A new address starts afresh.

The stand-in in platform_fixture took a subscriber that had gone for the newest one, so that it sent nothing to the one that was there; no bound of a test has changed.

--- a/src/discovery/watcher.hpp
+++ b/src/discovery/watcher.hpp
@@ -1,10 +1,14 @@
 /// Watches the discovery service over a connection: subscribes from the last event received and delivers new events.
 /// Reconnects when the connection closes, skips an event, sends a malformed frame or is silent for too long; meanwhile
 /// the last known endpoints stay in use.
+///
+/// A silent connection may be waiting for a slow service, or may never send anything again. Therefore it stays open
+/// while further ones are opened beside it; the first one that sends an event is kept, and the others are closed.
 #pragma once
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "discovery/event_sequence.hpp"
 #include "discovery/frame_decoder.hpp"
@@ -17,13 +21,18 @@
 
 struct WatchTimeouts {
     net::Time connect_timeout = std::chrono::seconds(1);
-    /// Longest wait for the next event; the service sends a heartbeat each second.
+    /// How long the service may be silent before another connection is opened; it sends a heartbeat each second.
     net::Time silence_timeout = std::chrono::milliseconds(1800);
+    /// How long a silent connection is kept.
+    net::Time close_timeout = std::chrono::milliseconds(14'400);
     net::Time initial_backoff = std::chrono::milliseconds(50), max_backoff = std::chrono::milliseconds(800);
 };
 
 class Watcher {
 public:
+    /// Largest number of connections that are open at a time.
+    static constexpr std::size_t max_subscriptions = 4;
+
     using OnEvent = std::function<void(const WatchEvent&)>;
 
     /// `known_event_number` is that of the last event already known. `seed` spreads the reconnects of controllers that
@@ -43,7 +52,14 @@
     std::uint64_t connections() const { return connections_; }
 
 private:
-    enum class DisconnectReason { not_connected, silent, closed, sequence_gap, address_changed, malformed_frame };
+    /// An established connection to the service.
+    struct Subscription {
+        std::shared_ptr<net::Stream> stream;
+        bool is_open = true;  // false once the watcher has closed the connection
+    };
+    using SubscriptionPtr = std::shared_ptr<Subscription>;
+
+    enum class DisconnectReason { not_connected, silent, closed, sequence_gap, malformed_frame, superseded };
     struct Disconnect {
         DisconnectReason reason{};
         FrameError frame_error{};
@@ -51,8 +67,17 @@
     static const char* name_of(DisconnectReason reason);
 
     net::Task<> run();
-    net::Task<Disconnect> receive(std::shared_ptr<net::Stream> stream);
+    net::Task<> wait_for_connect_time();
+    void connect_at(net::Time when);
+    void subscribe(std::shared_ptr<net::Stream> stream);
+    net::Task<> receive(SubscriptionPtr subscription);
+    net::Task<Disconnect> read_events(const Subscription& subscription);
+    void on_bytes_received();
+    void on_event_received(const Subscription& subscription);
+    void close_all_except(const Subscription* kept);
+    void on_disconnected(const Disconnect& disconnect);
     void log_disconnect(const Disconnect& disconnect);
+    net::Time with_jitter(net::Time time);
     net::Time next_backoff();
 
     net::EventLoop& loop_;
@@ -62,14 +87,15 @@
     EventSequence sequence_;
     const OnEvent on_event_;
     const WatchTimeouts timeouts_;
-    std::shared_ptr<net::Stream> stream_;
+    std::vector<SubscriptionPtr> subscriptions_;  // oldest first
+    net::Time connect_at_{};                      // when the next connection is opened, unless bytes arrive before
+    net::Time last_received_at_ = net::Time::min();
     std::optional<net::Time> confirmed_at_;
     std::uint64_t connections_{};
-    int failed_attempts_{};     // consecutive connection attempts without an event
-    int silent_connections_{};  // consecutive connections without an event before their timeout
-    bool address_changed_{};
+    int failed_attempts_{};  // consecutive connection attempts without an event
     net::Notification wake_up_;
     Pcg random_;
+    const net::Time silence_limit_;  // silence_timeout with jitter
 };
 
 }  // namespace plumkeel::discovery
--- a/tests/discovery_reconnect_test.cpp
+++ b/tests/discovery_reconnect_test.cpp
@@ -61,6 +61,134 @@
     EXPECT_LE(discovery_server.subscriptions.size(), 3u);
 }
 
+// The events of a stopped watch count as received 4 s after the stop, so a watcher must be listening again by then.
+constexpr Time stale_limit = 4s;
+
+class SilentDiscovery : public DiscoveryReconnect {
+protected:
+    SilentDiscovery() {
+        watch_config = load_platform_config(write_config(default_config));
+        watch_config.gateway.log.file = "/dev/null";
+        silent_log = std::make_unique<Log>(loop, watch_config.gateway.log);
+    }
+    discovery::Watcher& start_watcher(std::uint64_t seed, const std::string& host = "10.9.0.1") {
+        const net::Address address{host, 2379};
+        auto& watcher = watchers.emplace_back(std::make_unique<discovery::Watcher>(
+            loop, *silent_log, watch_config.labels, address, 1, [](const discovery::WatchEvent&) {}, seed));
+        watcher->start();
+        return *watcher;
+    }
+    /// Lets the server fall silent: open connections stay open, and so do those that are made meanwhile.
+    static void silence(ScriptedDiscovery& discovery_server) {
+        discovery_server.is_silent = true;
+        for (auto& stream : discovery_server.streams) discovery_server.silent_streams.push_back(stream);
+        discovery_server.streams.clear();
+        discovery_server.stream.reset();
+    }
+    static std::size_t open_connections(const ScriptedDiscovery& discovery_server) {
+        return static_cast<std::size_t>(std::count_if(discovery_server.silent_streams.begin(),
+                                                      discovery_server.silent_streams.end(),
+                                                      [](const auto& stream) { return !stream->peer_closed(); }));
+    }
+
+    PlatformConfig watch_config;
+    std::unique_ptr<Log> silent_log;
+    std::vector<std::unique_ptr<discovery::Watcher>> watchers;
+};
+
+// Guards against a stale list after an outage of any length: a watch that was opened in it never sends anything, and
+// the next one must not wait for its end.
+TEST_F(SilentDiscovery, AWatcherListensAgainSoonAfterAnOutage) {
+    std::vector<std::unique_ptr<ScriptedDiscovery>> servers;
+    std::vector<std::optional<Time>> confirmed(60);
+    for (std::size_t i = 0; i < confirmed.size(); ++i) {
+        const std::string host = "10.9.1." + std::to_string(i + 1);
+        ScriptedDiscovery& discovery_server = *servers.emplace_back(std::make_unique<ScriptedDiscovery>(loop, host));
+        discovery_server.tells_at_once = true;
+        const discovery::Watcher& watcher = start_watcher(i + 1, host);
+        loop.call_at(3s, [&discovery_server] { silence(discovery_server); });
+        const Time over_at = 5s + 500ms * static_cast<int>(i);
+        loop.call_at(over_at, [&discovery_server] { discovery_server.is_silent = false; });
+        loop.call_at(over_at + stale_limit, [&confirmed, &watcher, i] { confirmed[i] = watcher.confirmed_at(); });
+    }
+    loop.run(45s);
+    for (std::size_t i = 0; i < confirmed.size(); ++i) {
+        ASSERT_TRUE(confirmed[i]);
+        EXPECT_GT(*confirmed[i], 5s + 500ms * static_cast<int>(i)) << "outage of " << 2000 + 500 * i << " ms";
+    }
+}
+
+// Guards against a server that is never received because each connection to it is given up too early: after an outage
+// it takes 3.4 s to its first event.
+TEST_F(SilentDiscovery, ASlowServerIsReceivedAfterAnOutage) {
+    ScriptedDiscovery discovery_server(loop, "10.9.0.1");
+    discovery_server.tells_at_once = true;
+    const discovery::Watcher& watcher = start_watcher(1);
+    loop.run(3s);
+    silence(discovery_server);
+    loop.run(23s);
+    discovery_server.is_silent = false;
+    discovery_server.subscribe_delay = 3400ms;
+    loop.run(23s + stale_limit + discovery_server.subscribe_delay);
+    EXPECT_GT(*watcher.confirmed_at(), 23s);
+}
+
+// Guards against giving up a slow server at a new address: its first event takes 3.4 s and must be received then.
+TEST_F(SilentDiscovery, ASlowServerAtANewAddressIsReceivedAtItsFirstEvent) {
+    ScriptedDiscovery old_server(loop, "10.9.0.1"), new_server(loop, "10.9.0.2");
+    new_server.subscribe_delay = 3400ms;
+    new_server.tells_at_once = true;
+    discovery::Watcher& watcher = start_watcher(1);
+    loop.run(20s);
+    watcher.set_address({"10.9.0.2", 2379});
+    loop.run(20s + new_server.subscribe_delay + 10ms);
+    EXPECT_GT(*watcher.confirmed_at(), 20s);
+}
+
+// Guards against a wait that an earlier outage has made longer: the first watch at a new address is dead.
+TEST_F(SilentDiscovery, ADeadWatchAtANewAddressIsReplacedSoon) {
+    ScriptedDiscovery old_server(loop, "10.9.0.1"), new_server(loop, "10.9.0.2");
+    new_server.tells_at_once = new_server.is_silent = true;
+    discovery::Watcher& watcher = start_watcher(1);
+    loop.run(3s);
+    silence(old_server);
+    loop.run(20s);
+    watcher.set_address({"10.9.0.2", 2379});
+    loop.call_at(20s + 100ms, [&] { new_server.is_silent = false; });
+    loop.run(20s + stale_limit);
+    EXPECT_GT(*watcher.confirmed_at(), 20s);
+}
+
+// Controllers whose watch falls silent at the same moment must not reconnect at the same time.
+TEST_F(SilentDiscovery, WatchersOfASilentServerDoNotReconnectInStep) {
+    ScriptedDiscovery discovery_server(loop, "10.9.0.1");
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) start_watcher(seed);
+    loop.run(500ms);
+    for (const auto& stream : discovery_server.streams) ScriptedInvoker::write(stream, frame(1, 0));
+    silence(discovery_server);
+    loop.run(3s);
+    ASSERT_EQ(discovery_server.subscriptions.size(), 60u);
+    std::set<Time> reconnect_times;
+    for (const auto& [at, number] : discovery_server.subscriptions)
+        if (at > 500ms) reconnect_times.insert(at);
+    EXPECT_GE(reconnect_times.size(), 20u);
+}
+
+// The connections that wait for a silent server are bounded, at any time and in number.
+TEST_F(SilentDiscovery, OpensFewConnectionsInALongOutage) {
+    ScriptedDiscovery discovery_server(loop, "10.9.0.1");
+    start_watcher(1);
+    loop.run(3s);
+    silence(discovery_server);
+    std::size_t most_open = 0;
+    for (Time now = 3s; now <= 63s; now += 100ms) {
+        loop.run(now);
+        most_open = std::max(most_open, open_connections(discovery_server));
+    }
+    EXPECT_LE(most_open, discovery::Watcher::max_subscriptions + 1);  // one may be about to be closed
+    EXPECT_LE(discovery_server.subscriptions.size(), 36u);            // at least 1.8 s lie between two of them
+}
+
 // Watchers whose address changes at any time during a disconnect, backoff or reconnect soon subscribe at the new
 // address.
 TEST_F(DiscoveryReconnect, FollowsAnAddressChangeAtAnyInstant) {
--- a/tests/platform_fixture.hpp
+++ b/tests/platform_fixture.hpp
@@ -289,7 +289,10 @@
     std::vector<std::shared_ptr<net::Stream>> streams;  // connections of all subscribers
     std::uint64_t last_event = 1;
     bool sends_heartbeats = true;
-    Time subscribe_delay{};  // how long nothing is sent to a new subscriber
+    Time subscribe_delay{};      // how long nothing is sent to a new subscriber
+    bool tells_at_once = false;  // whether a new subscriber gets a heartbeat right after the delay
+    bool is_silent = false;      // new subscribers are accepted and never sent anything, also later
+    std::vector<std::shared_ptr<net::Stream>> silent_streams;
 
     ScriptedDiscovery(net::EventLoop& event_loop, const std::string& host)
         : loop(event_loop), listener(event_loop.listen({host, 2379}).listener) {
@@ -310,9 +313,15 @@
             std::uint64_t number = 0;
             for (const char c : received) number = number << 8 | static_cast<unsigned char>(c);
             subscriptions.emplace_back(loop.now(), number);
+            if (is_silent) {
+                silent_streams.push_back(accepted.stream);
+                continue;
+            }
             loop.call_at(loop.now() + subscribe_delay, [this, new_stream = accepted.stream] {
+                if (new_stream->peer_closed()) return;  // the subscriber has given up
                 stream = new_stream;
                 streams.push_back(new_stream);
+                if (tells_at_once) send(frame(last_event, 0));
             });
         }
     }
