HTTP: don't send an attempt whose client left while the connection was made

What callers could see: a request that runs without its client, which counts as lost once it begins over 0.1 s after the client has gone.

Cause: web::InvokerConnection marked a call as sent when it was attached, before the connect, so that cancel_if_unsent() did not take it back where the settings allow no cancellation.

Change: a call counts as sent once bytes of it are written.

--- a/src/web/invoker_connection.cpp
+++ b/src/web/invoker_connection.cpp
@@ -79,14 +79,15 @@
 void InvokerConnection::attach_call(std::shared_ptr<UpstreamCall> call) {
     call_ = std::move(call);
     ConnectionPool::connection_of(*call_) = shared_from_this();
-    ConnectionPool::mark_sent(*call_);
 }
 
-// Returns false if no byte of the call could be sent.
+// Returns false if no byte of the call could be sent. Until then the call counts as unsent, also while connecting.
 bool InvokerConnection::write_call() {
     sent_bytes_before_call_ = write_queue_->sent_bytes();
     write_queue_->send(encode_call(*call_, pool_.controller_name_), call_->request ? call_->request->body : nullptr);
-    return !write_queue_->error() || write_queue_->sent_bytes() > sent_bytes_before_call_;
+    if (write_queue_->error() && write_queue_->sent_bytes() == sent_bytes_before_call_) return false;
+    ConnectionPool::mark_sent(*call_);
+    return true;
 }
 
 net::Task<> InvokerConnection::run(std::shared_ptr<InvokerConnection> self, net::Address address) {
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -63,6 +63,9 @@
     std::optional<Time> closes_after;   ///< delay after a response until the connection is closed
     std::vector<std::string> attempts;  ///< "request id/attempt number" in the order of arrival
     std::vector<Time> arrivals;
+    std::vector<int> stated_limits_ms;  ///< remaining time that each attempt stated, in milliseconds
+    /// Connections accepted in this interval are not read before its end.
+    Time reading_pause_start = Time::max(), reading_pause_end{};
     int connections{};
     int cancelled{};  ///< connections that ended while an attempt hung
 
@@ -85,6 +88,8 @@
 
     Task<> serve(std::shared_ptr<net::Stream> stream) {
         http::ReadBuffer buffer(stream);
+        if (loop.now() >= reading_pause_start && loop.now() < reading_pause_end)
+            co_await loop.sleep(reading_pause_end - loop.now());
         for (;;) {
             RequestParser parser;
             parser.eager(true);
@@ -100,6 +105,8 @@
             attempts.push_back(std::string(http::field(parser.get(), "plumkeel-job")) + "/" +
                                std::string(http::field(parser.get(), "plumkeel-hop")));
             arrivals.push_back(loop.now());
+            stated_limits_ms.push_back(
+                http::parse_number<int>(http::field(parser.get(), "plumkeel-limit")).value_or(0));
             if (behaviour == Behaviour::hangs) {
                 const net::Error end = co_await buffer.read_more();
                 if (end) ++cancelled;
@@ -222,7 +229,8 @@
 /// recorded scheduler calls are replayed with a new scheduler, which must return the same actions.
 class GatewayTest : public testing::Test {
 protected:
-    GatewayTest() {
+    /// Bytes take `latency` to arrive, and connecting takes twice as long.
+    explicit GatewayTest(Time latency = net::SimulatedEventLoop::default_latency) : loop(latency) {
         config.listen = "gateway:1";
         config.log.file = "/dev/null";
         config.safety_rules.slow_start_duration = 10s;
