HTTP: send a keyed repeat only while invokers remember its key

What callers could see: a second effect.

Change: the connection asks send_deadline() when it has come up, and is closed at that time while its call is not completely written.

--- a/src/web/invoker_connection.cpp
+++ b/src/web/invoker_connection.cpp
@@ -26,9 +26,13 @@
 }  // namespace
 
 InvokerConnection::InvokerConnection(ConnectionPool& pool)
-    : pool_(pool), loop_(pool.loop_), idle_timer_(pool.loop_, [this] {
-          if (!call_) close();
-      }) {}
+    : pool_(pool),
+      loop_(pool.loop_),
+      idle_timer_(pool.loop_,
+                  [this] {
+                      if (!call_) close();
+                  }),
+      send_timer_(pool.loop_, [this] { close_if_overdue(); }) {}
 
 void InvokerConnection::start(std::shared_ptr<UpstreamCall> call) {
     attach_call(std::move(call));
@@ -54,6 +58,7 @@
 void InvokerConnection::close() {
     is_open_ = false;
     idle_timer_.clear();
+    send_timer_.clear();
     if (stream_) stream_->close();
     if (write_queue_) write_queue_->abandon();
 }
@@ -87,9 +92,17 @@
     write_queue_->send(encode_call(*call_, pool_.controller_name_), call_->request ? call_->request->body : nullptr);
     if (write_queue_->error() && write_queue_->sent_bytes() == sent_bytes_before_call_) return false;
     ConnectionPool::mark_sent(*call_);
+    if (write_queue_->pending_bytes() > 0) send_timer_.set(call_->send_deadline());
     return true;
 }
 
+// Closes the connection if the current call is not completely sent and must not be completed any more.
+void InvokerConnection::close_if_overdue() {
+    if (!call_ || write_queue_->pending_bytes() == 0) return;
+    if (loop_.now() < call_->send_deadline()) return send_timer_.set(call_->send_deadline());
+    close();
+}
+
 net::Task<> InvokerConnection::run(std::shared_ptr<InvokerConnection> self, net::Address address) {
     auto connected = co_await loop_.connect(address, pool_.config_.connect_timeout);
     if (connected.error) {
@@ -102,6 +115,8 @@
     http::ReadBuffer read_buffer(stream_, read_buffer_bytes);
     if (!is_open_) {
         stream_->close();  // the call was cancelled while connecting
+    } else if (call_ && pool_.is_send_overdue(*call_)) {
+        pool_.stop(*call_, StopCause::cancelled_unsent);
     } else if (call_ && write_call()) {
         while (is_open_) {
             const bool reusable = co_await read_response(read_buffer);
--- a/src/web/invoker_connection.hpp
+++ b/src/web/invoker_connection.hpp
@@ -36,6 +36,7 @@
 
     void attach_call(std::shared_ptr<UpstreamCall> call);
     bool write_call();
+    void close_if_overdue();
     net::Task<> run(std::shared_ptr<InvokerConnection> self, net::Address address);
     void on_connect_failed(const std::shared_ptr<InvokerConnection>& self, const net::Error& error);
     net::Task<bool> read_response(http::ReadBuffer& read_buffer);
@@ -54,6 +55,7 @@
     std::shared_ptr<UpstreamCall> call_;
     std::size_t sent_bytes_before_call_{};  // bytes sent on this connection before the current call
     net::LazyTimer idle_timer_;
+    net::LazyTimer send_timer_;  // set while the current call is not completely sent
 };
 
 }  // namespace plumkeel::web
--- a/tests/http_send_deadline_test.cpp
+++ b/tests/http_send_deadline_test.cpp
@@ -28,5 +28,75 @@
     EXPECT_TRUE(invoker.attempts.empty());
 }
 
+/// Attempts of requests of the class "r", whose key invokers remember for `window`.
+class HttpKeyedRepeat : public HttpSlowNetwork {
+protected:
+    static constexpr Time window = 500ms;
+
+    HttpKeyedRepeat() { config.request_classes["r"].deduplication_window = window; }
+
+    static std::string keyed_request(const std::string& body = "work") {
+        return request("r", "Connection: close\r\n", body);
+    }
+    /// A request for a function of its own, which does not wait for the function of the others to be loaded.
+    static std::string other_request() {
+        std::string text = request("p");
+        return text.replace(text.find("jobs/f"), 6, "jobs/g");
+    }
+    /// Checks that the gateway's `number`th request ran, that no run of it began over `window` after the first one, and
+    /// that it has its response at most a second after that time.
+    void expect_no_run_after_the_window(int number, const ScriptedClient& client) {
+        const std::string id = std::to_string(number) + "/";
+        std::vector<Time> runs;
+        for (const auto& invoker : invokers)
+            for (std::size_t i = 0; i < invoker->attempts.size(); ++i)
+                if (invoker->attempts[i].starts_with(id)) runs.push_back(invoker->arrivals[i]);
+        ASSERT_FALSE(runs.empty());
+        const auto [first, last] = std::minmax_element(runs.begin(), runs.end());
+        EXPECT_LE(*last - *first, window);
+        EXPECT_EQ(client.count("HTTP/1.1"), 1);
+        EXPECT_LE(client.last_received_at, *first + window + 1s);
+    }
+};
+
+// Guards against a second effect: the repeat waits in the pool's queue until its key is forgotten.
+TEST_F(HttpKeyedRepeat, DoesNotLeaveTheQueueAfterItsWindow) {
+    config.pool.max_connections = 1;
+    ScriptedInvoker& invoker = add_invoker({Behaviour::resets, Behaviour::responds});
+    invoker.response_time = 400ms;
+    start_gateway();
+    ScriptedClient& client = add_client(10ms, keyed_request());
+    add_client(100ms, other_request());  // waits for the connection, and takes the place of the first attempt
+    loop.run(4s);
+    expect_no_run_after_the_window(1, client);
+}
+
+// Guards against a second effect: the connection for the repeat comes up after its key is forgotten.
+TEST_F(HttpKeyedRepeat, IsNotSentOnAConnectionThatComesUpAfterItsWindow) {
+    config.capabilities.health_checks = false;  // these would leave an idle connection for the repeat
+    ScriptedInvoker& invoker = add_invoker({Behaviour::responds, Behaviour::resets, Behaviour::responds});
+    invoker.response_time = 10ms;
+    start_gateway();
+    ScriptedClient& client = add_client(400ms, keyed_request());
+    add_client(10ms, other_request());  // opens the connection that the first attempt uses
+    loop.call_at(400ms, [&] { invoker.response_time = window - 60ms; });
+    loop.run(4s);
+    EXPECT_GE(invoker.connections, 2);
+    expect_no_run_after_the_window(2, client);
+}
+
+// Guards against a second effect: a part of the repeat is in a full socket when its key is forgotten.
+TEST_F(HttpKeyedRepeat, IsNotCompletedAfterItsWindow) {
+    ScriptedInvoker& invoker = add_invoker({Behaviour::resets, Behaviour::responds});
+    invoker.response_time = 200ms;
+    invoker.reading_pause_start = 300ms;  // the connection for the repeat is not read for some time
+    invoker.reading_pause_end = 1s;
+    loop.limit_buffer({"i1", 1}, 8000);
+    start_gateway();
+    ScriptedClient& client = add_client(10ms, keyed_request(std::string(16'000, 'x')));
+    loop.run(4s);
+    expect_no_run_after_the_window(1, client);
+}
+
 }  // namespace
 }  // namespace plumkeel::gateway
