HTTP: state the time that is left when an attempt is sent

What callers could see: invokers that work on for longer than the client waits; after 2 s in the pool's queue an attempt stated 4,000 ms instead of 2,000.

Cause: encode_call() wrote the attempt's timeout, which counts from the decision, and not what remains when the bytes leave.

Change: it writes the time until the call's deadline, at least 1 ms.

Tests: two of http_send_deadline_test failed before (queue, connect); a third one guards that nothing is sent after the deadline, and passed before as well.

--- a/src/web/call_encoder.cpp
+++ b/src/web/call_encoder.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "gateway/gateway.hpp"
 #include "http/http.hpp"
 #include "web/protocol.hpp"
@@ -14,6 +16,8 @@
 
 namespace {
 
+constexpr net::Time min_remaining_time = 1ms;  // shortest remaining time that an attempt can state
+
 std::string encode_health_check(const UpstreamCall& call, std::string_view controller_name) {
     return fmt::format("GET /v1/load HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n\r\n", call.invoker, field::controller,
                        controller_name);
@@ -39,17 +43,18 @@
     return head.finish().substr(2);  // drops the line break of the empty first line
 }
 
-std::string encode_attempt(const UpstreamCall& call, std::string_view controller_name) {
+std::string encode_attempt(const UpstreamCall& call, std::string_view controller_name, net::Time now) {
     gateway::ActiveRequest& request = *call.request;
     if (request.encoded_suffix.empty()) request.encoded_suffix = encode_common_fields(request, controller_name);
+    const net::Time remaining = std::max(call.deadline - now, min_remaining_time);
     return fmt::format("POST /v1/run/{} HTTP/1.1\r\nHost: {}\r\n{}: {}\r\n{}: {}\r\n{}",
                        http::percent_encode(request.function->name), call.invoker, field::attempt, call.attempt->number,
-                       field::timeout, call.attempt->timeout / 1ms, request.encoded_suffix);
+                       field::timeout, remaining / 1ms, request.encoded_suffix);
 }
 
 }  // namespace
 
-std::string encode_call(UpstreamCall& call, std::string_view controller_name) {
+std::string encode_call(UpstreamCall& call, std::string_view controller_name, net::Time now) {
     switch (call.kind) {
         case UpstreamCall::Kind::health_check:
             return encode_health_check(call, controller_name);
@@ -59,7 +64,7 @@
         case UpstreamCall::Kind::attempt:
             break;
     }
-    return encode_attempt(call, controller_name);
+    return encode_attempt(call, controller_name, now);
 }
 
 }  // namespace plumkeel::web
--- a/src/web/invoker_connection.cpp
+++ b/src/web/invoker_connection.cpp
@@ -89,7 +89,8 @@
 // Returns false if no byte of the call could be sent. Until then the call counts as unsent, also while connecting.
 bool InvokerConnection::write_call() {
     sent_bytes_before_call_ = write_queue_->sent_bytes();
-    write_queue_->send(encode_call(*call_, pool_.controller_name_), call_->request ? call_->request->body : nullptr);
+    write_queue_->send(encode_call(*call_, pool_.controller_name_, loop_.now()),
+                       call_->request ? call_->request->body : nullptr);
     if (write_queue_->error() && write_queue_->sent_bytes() == sent_bytes_before_call_) return false;
     ConnectionPool::mark_sent(*call_);
     if (write_queue_->pending_bytes() > 0) send_timer_.set(call_->send_deadline());
--- a/tests/http_send_deadline_test.cpp
+++ b/tests/http_send_deadline_test.cpp
@@ -16,6 +16,11 @@
     HttpSlowNetwork() : HttpSendDeadline(20ms) {}  // connecting takes 40 ms
 };
 
+class HttpVerySlowNetwork : public HttpSendDeadline {
+protected:
+    HttpVerySlowNetwork() : HttpSendDeadline(40ms) {}  // connecting takes 80 ms
+};
+
 // Guards against a request that runs without its client: the client leaves while the connection for its attempt is
 // being made, and invokers can't be told of it.
 TEST_F(HttpSlowNetwork, AttemptOfAGoneClientIsNotSentWhenItsConnectionComesUp) {
@@ -28,6 +33,42 @@
     EXPECT_TRUE(invoker.attempts.empty());
 }
 
+// Guards against an invoker that works for longer than its client waits: the attempt waits in the pool's queue, and has
+// to state the time that is left when it is sent.
+TEST_F(HttpSendDeadline, StatesTheTimeThatIsLeftWhenItLeavesTheQueue) {
+    config.pool.max_connections = 1;
+    ScriptedInvoker& invoker = add_invoker({Behaviour::responds});
+    invoker.response_time = 2s;
+    start_gateway();
+    add_client(10ms, request("p"));
+    std::string queued = request("p");
+    queued.replace(queued.find("jobs/f"), 6, "jobs/g");  // another function, which need not wait for f to be loaded
+    add_client(20ms, queued);
+    loop.run(3s);
+    ASSERT_EQ(invoker.attempts.size(), 2u);
+    EXPECT_LE(invoker.stated_limits_ms[1], (20ms + 4000ms - invoker.arrivals[1]) / 1ms + 150);
+}
+
+// Guards against the same where the connection for the attempt comes up late.
+TEST_F(HttpVerySlowNetwork, StatesTheTimeThatIsLeftWhenItsConnectionIsUp) {
+    ScriptedInvoker& invoker = add_invoker({Behaviour::responds});
+    start_gateway();
+    add_client(10ms, request("p"));  // sent at 90 ms
+    loop.run(1s);
+    ASSERT_EQ(invoker.attempts.size(), 1u);
+    EXPECT_LE(invoker.stated_limits_ms[0], (90ms + 4000ms - invoker.arrivals[0]) / 1ms + 150);
+}
+
+// Guards against an attempt that leaves after its request's deadline: its connection comes up after it.
+TEST_F(HttpSlowNetwork, SendsNothingAfterTheDeadline) {
+    ScriptedInvoker& invoker = add_invoker({Behaviour::responds});
+    start_gateway();
+    ScriptedClient& client = add_client(10ms, request("p", "Connection: close\r\n", "work", 40));
+    loop.run(1s);
+    EXPECT_TRUE(invoker.attempts.empty());
+    EXPECT_EQ(client.count("HTTP/1.1"), 1);
+}
+
 /// Attempts of requests of the class "r", whose key invokers remember for `window`.
 class HttpKeyedRepeat : public HttpSlowNetwork {
 protected:
