HTTP: don't complete a half-sent attempt whose client has gone

What callers could see: a request that runs without its client.

Cause: cancel_if_unsent() took back only what had not begun to be sent, and HTTP has no bound between the first and the last byte of an attempt.

Change: an attempt with bytes still to be sent is taken back as well, by closing its connection, which carries nothing else.

Test: HttpSlowNetwork.PartlyWrittenAttemptOfAGoneClientIsNotCompleted failed before.

--- a/src/gateway/connection_pool.hpp
+++ b/src/gateway/connection_pool.hpp
@@ -36,10 +36,11 @@
     void send(std::shared_ptr<UpstreamCall> call);
     /// Cancels a call in any state. The call ends later, with the outcome that is known by then.
     virtual void cancel(UpstreamCall& call) { stop(call, delivery::StopCause::cancelled); }
-    /// Cancels a call that is still queued, because its request is completed. This needs no message to the invoker, so
-    /// it also works where invokers do not support cancellation.
+    /// Cancels a call that the invoker has not received, because its request is completed. This needs no message to the
+    /// invoker, so it also works where invokers do not support cancellation.
     void cancel_if_unsent(UpstreamCall& call) {
-        if (call.state_ == UpstreamCall::State::queued) stop(call, delivery::StopCause::cancelled_unsent);
+        if (call.state_ == UpstreamCall::State::queued || is_partly_sent(call))
+            stop(call, delivery::StopCause::cancelled_unsent);
     }
     /// Ends all attempts that have not been sent yet as never sent, because the invoker accepts no new attempts.
     virtual void cancel_unsent() = 0;
@@ -57,6 +58,9 @@
     /// Removes the call from its connection or from the queue, and returns the call's progress.
     virtual delivery::Progress remove(UpstreamCall& call, delivery::StopCause cause) = 0;
 
+    /// Whether the call is in flight with bytes that are still to be sent, and can be stopped without them being sent.
+    virtual bool is_partly_sent(const UpstreamCall&) const { return false; }
+
     void stop(UpstreamCall& call, delivery::StopCause cause);
     /// Whether the call is unsent and must not be sent any more.
     bool is_send_overdue(const UpstreamCall& call) const {
@@ -77,6 +81,7 @@
     }
     static void set_state(UpstreamCall& call, UpstreamCall::State state) { call.state_ = state; }
     static std::shared_ptr<void>& connection_of(UpstreamCall& call) { return call.connection_; }
+    static const std::shared_ptr<void>& connection_of(const UpstreamCall& call) { return call.connection_; }
     void clear_deadline(UpstreamCall& call) { loop_.cancel(call.deadline_timer_); }
 
     net::EventLoop& loop_;
--- a/src/web/connection_pool.cpp
+++ b/src/web/connection_pool.cpp
@@ -53,6 +53,11 @@
     dispatch_queued();
 }
 
+bool ConnectionPool::is_partly_sent(const UpstreamCall& call) const {
+    const auto connection = std::static_pointer_cast<InvokerConnection>(connection_of(call));
+    return connection && connection->has_unsent_bytes();
+}
+
 // Cancels a call. If it was assigned to a connection, that connection is closed.
 Progress ConnectionPool::remove(UpstreamCall& call, StopCause) {
     Progress progress = Progress::not_written;
--- a/src/web/connection_pool.hpp
+++ b/src/web/connection_pool.hpp
@@ -33,6 +33,7 @@
 
     bool dispatch(const Call& call) override;
     void collect_unsent(std::vector<Call>& unsent) const override;
+    bool is_partly_sent(const UpstreamCall& call) const override;
     delivery::Progress remove(UpstreamCall& call, delivery::StopCause cause) override;
     void on_connection_free(const ConnectionPtr& connection);
     void connection_closed(const ConnectionPtr& connection);
--- a/src/web/invoker_connection.cpp
+++ b/src/web/invoker_connection.cpp
@@ -93,13 +93,13 @@
                        call_->request ? call_->request->body : nullptr);
     if (write_queue_->error() && write_queue_->sent_bytes() == sent_bytes_before_call_) return false;
     ConnectionPool::mark_sent(*call_);
-    if (write_queue_->pending_bytes() > 0) send_timer_.set(call_->send_deadline());
+    if (has_unsent_bytes()) send_timer_.set(call_->send_deadline());
     return true;
 }
 
 // Closes the connection if the current call is not completely sent and must not be completed any more.
 void InvokerConnection::close_if_overdue() {
-    if (!call_ || write_queue_->pending_bytes() == 0) return;
+    if (!call_ || !has_unsent_bytes()) return;
     if (loop_.now() < call_->send_deadline()) return send_timer_.set(call_->send_deadline());
     close();
 }
--- a/src/web/invoker_connection.hpp
+++ b/src/web/invoker_connection.hpp
@@ -27,6 +27,8 @@
     std::shared_ptr<UpstreamCall> release_call();
     /// The current call if it is an attempt of which no byte was sent yet, otherwise null.
     std::shared_ptr<UpstreamCall> unsent_attempt() const;
+    /// Whether bytes of the current call are still to be sent.
+    bool has_unsent_bytes() const { return write_queue_ && write_queue_->pending_bytes() > 0; }
     bool has_attempt() const { return call_ && !call_->has_priority(); }
     void start_idle_timer();
 
--- a/tests/http_send_deadline_test.cpp
+++ b/tests/http_send_deadline_test.cpp
@@ -33,6 +33,21 @@
     EXPECT_TRUE(invoker.attempts.empty());
 }
 
+// Guards against the same with a part of the attempt in a full socket: the rest must not be sent when the invoker reads
+// on.
+TEST_F(HttpSlowNetwork, PartlyWrittenAttemptOfAGoneClientIsNotCompleted) {
+    config.capabilities.cancellation = false;
+    ScriptedInvoker& invoker = add_invoker({Behaviour::responds});
+    invoker.reading_pause_start = 0ms;
+    invoker.reading_pause_end = 1s;
+    loop.limit_buffer({"i1", 1}, 8000);
+    start_gateway();
+    add_client(10ms, request("p", "", std::string(16'000, 'x')), 200ms);
+    loop.run(3s);
+    EXPECT_GE(invoker.connections, 1);
+    EXPECT_TRUE(invoker.attempts.empty());
+}
+
 // Guards against an invoker that works for longer than its client waits: the attempt waits in the pool's queue, and has
 // to state the time that is left when it is sent.
 TEST_F(HttpSendDeadline, StatesTheTimeThatIsLeftWhenItLeavesTheQueue) {
