HTTP: don't send a preload to an invoker that has begun to drain

What operators could see: copies loaded at an invoker after the notice that it drains.

Cause: cancel_unsent() leaves calls with priority alone, for health checks.

Change: PreloadCall::send_deadline(), which is asked where bytes leave.

Test: HttpSlowNetwork.PreloadIsNotSentToAnInvokerThatHasBegunToDrain failed before. The Consul stand-in moved from gateway_endpoints_test to the fixture, unchanged.

--- a/src/gateway/attempt_call.cpp
+++ b/src/gateway/attempt_call.cpp
@@ -66,4 +66,8 @@
     copies = command.copies;
 }
 
+net::Time PreloadCall::send_deadline() const {
+    return kind == Kind::load_copies && !endpoint_.accepts_attempts() ? net::Time::min() : deadline;
+}
+
 }  // namespace plumkeel::gateway
--- a/src/gateway/attempt_call.hpp
+++ b/src/gateway/attempt_call.hpp
@@ -77,6 +77,8 @@
 class PreloadCall : public UpstreamCall {
 public:
     PreloadCall(CallObserver& observer, InvokerEndpoint& endpoint, const PreloadCommand& command);
+    /// Loading copies is new work, which an invoker that drains must not be sent.
+    net::Time send_deadline() const override;
     void on_ended(CallResult result) override { observer_.on_preload_ended(*this, result); }
 
     InvokerEndpoint& endpoint() const { return endpoint_; }
--- a/tests/gateway_endpoints_test.cpp
+++ b/tests/gateway_endpoints_test.cpp
@@ -4,48 +4,6 @@
 namespace plumkeel::gateway {
 namespace {
 
-/// A Consul agent whose list of invokers is set by the test.
-struct ScriptedConsul {
-    net::SimulatedEventLoop& loop;
-    std::shared_ptr<net::Listener> listener;
-    std::string body;
-    int index = 1;
-    net::Notification changed;
-
-    explicit ScriptedConsul(net::SimulatedEventLoop& event_loop)
-        : loop(event_loop), listener(event_loop.listen({"list", 1}).listener), changed(event_loop) {
-        loop.spawn(run());
-    }
-    static std::string entry(const std::string& name, bool draining = false) {
-        return fmt::format(
-            R"({{"Node":{{"Address":"{0}"}},"Service":{{"ID":"{0}","Port":1}},"Checks":[{{"Status":"{1}"}}]}})", name,
-            draining ? "critical" : "passing");
-    }
-    void set(const std::vector<std::string>& entries) {
-        body = "[";
-        for (const auto& entry : entries) body += (body.size() > 1 ? "," : "") + entry;
-        body += "]";
-        ++index;
-        changed.notify();
-    }
-    Task<> run() {
-        for (;;) {
-            auto accepted = co_await listener->accept();
-            if (accepted.error) co_return;
-            http::ReadBuffer buffer(accepted.stream);
-            RequestParser parser;
-            co_await read_request(buffer, parser);
-            const bool is_up_to_date = parser.get().target().find(fmt::format("index={}&", index)) != std::string::npos;
-            if (is_up_to_date) co_await changed.wait();
-            write_text(accepted.stream,
-                       fmt::format("HTTP/1.1 200 OK\r\nX-Consul-Index: {}\r\nContent-Length: {}\r\n\r\n{}", index,
-                                   body.size(), body));
-            accepted.stream->shutdown_send();
-            co_await loop.sleep(1ms);
-        }
-    }
-};
-
 class GatewayEndpointsTest : public GatewayTest {};
 
 TEST_F(GatewayEndpointsTest, ADrainingInvokerFinishesWhatWasSentAndReturnsWhatWasQueued) {
--- a/tests/http_send_deadline_test.cpp
+++ b/tests/http_send_deadline_test.cpp
@@ -84,6 +84,25 @@
     EXPECT_EQ(client.count("HTTP/1.1"), 1);
 }
 
+// Guards against new work for an invoker that drains: its connection for a preload comes up after the notice.
+TEST_F(HttpSlowNetwork, PreloadIsNotSentToAnInvokerThatHasBegunToDrain) {
+    config.capabilities.preload = true;
+    config.safety_rules.load_budget_window = 1s;
+    config.safety_rules.load_budget_base = 10;
+    config.capabilities.health_checks = false;
+    config.endpoint_source.consul = "list:1";
+    ScriptedConsul consul(loop);
+    ScriptedInvoker& invoker = add_invoker({Behaviour::responds});
+    config.endpoint_source.fixed.clear();
+    consul.set({ScriptedConsul::entry("i1")});
+    start_gateway();
+    add_client(500ms, request("p"));  // arrives at 560 ms; the connection for its preload is up at 600 ms
+    loop.call_at(560ms, [&] { consul.set({ScriptedConsul::entry("i1", true)}); });  // arrives at 580 ms
+    loop.run(2s);
+    EXPECT_GE(invoker.connections, 1);
+    EXPECT_TRUE(invoker.attempts.empty());
+}
+
 /// Attempts of requests of the class "r", whose key invokers remember for `window`.
 class HttpKeyedRepeat : public HttpSlowNetwork {
 protected:
