HTTP: after a pause, read a client's pending input before its attempt is sent

Change: the check moved to gateway::ConnectionPool, and HTTP's pool and connections ask it, too; web::Connection says whether input is unread.

Test: HttpPause.RequestOfAClientThatLeftDuringThePauseIsNotSent, on real sockets, failed before.

--- a/src/gateway/connection_pool.cpp
+++ b/src/gateway/connection_pool.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/request_table.hpp"
+
 namespace plumkeel::gateway {
 
 void ConnectionPool::send(std::shared_ptr<UpstreamCall> call) {
@@ -49,6 +51,11 @@
     return delivery::StopCause::connection_lost;
 }
 
+bool ConnectionPool::client_has_unread_input(const UpstreamCall& call) const {
+    if (call.has_priority() || !loop_.was_lagging()) return false;
+    return call.request->sink && call.request->sink->has_unread_input();
+}
+
 void ConnectionPool::stop(UpstreamCall& call, delivery::StopCause cause) {
     if (call.state_ == UpstreamCall::State::ended) return;
     const auto shared_call = call.shared_from_this();
--- a/src/gateway/connection_pool.hpp
+++ b/src/gateway/connection_pool.hpp
@@ -79,6 +79,9 @@
         call.state_ = UpstreamCall::State::in_flight;
         call.on_sent();
     }
+    /// Whether input of the call's client is unread after a stall of this thread. It may be the client's disconnect,
+    /// which has to be read before the call is sent.
+    bool client_has_unread_input(const UpstreamCall& call) const;
     static void set_state(UpstreamCall& call, UpstreamCall::State state) { call.state_ = state; }
     static std::shared_ptr<void>& connection_of(UpstreamCall& call) { return call.connection_; }
     static const std::shared_ptr<void>& connection_of(const UpstreamCall& call) { return call.connection_; }
--- a/src/gateway/queueing_pool.hpp
+++ b/src/gateway/queueing_pool.hpp
@@ -16,6 +16,9 @@
     std::size_t queued_count() const override { return queue_.size(); }
 
 protected:
+    /// How long a call waits for its client's pending input to be read.
+    static constexpr net::Time client_input_retry_delay = std::chrono::milliseconds(1);
+
     using Call = std::shared_ptr<UpstreamCall>;
 
     /// `address` is the invoker's; `counts` are shared by all pools of the gateway.
--- a/src/invoker_protocol/invoker_connection.cpp
+++ b/src/invoker_protocol/invoker_connection.cpp
@@ -17,7 +17,6 @@
 // RUN line can be, and how long after a client's disconnect its request can start.
 constexpr Time incomplete_attempt_timeout = 90ms;
 constexpr std::size_t max_ended_requests = 64;  // bounds the memory for detecting late responses
-constexpr Time client_input_retry_delay = 1ms;  // lets the client's pending input be read before the write
 constexpr Time min_remaining_time = 1ms;        // shortest remaining time that a RUN line can state
 constexpr unsigned success_status = 200;        // the invoker protocol has no status codes
 
@@ -156,8 +155,8 @@
         PendingCall& pending = calls_[i];
         if (!pending.is_unwritten()) continue;
         const bool is_attempt = !pending.call->has_priority();
-        if (is_attempt && client_has_unread_input(*pending.call)) {
-            write_calls_after(client_input_retry_delay);
+        if (pool_.client_has_unread_input(*pending.call)) {
+            write_calls_after(ConnectionPool::client_input_retry_delay);
             continue;
         }
         if (is_attempt && (attempt_blocked_ || write_queue_->pending_bytes() > 0)) continue;
@@ -174,12 +173,6 @@
     for (const auto& call : overdue) pool_.stop(*call, StopCause::cancelled_unsent);
 }
 
-// After a stall of this thread, unread input of the client may be its disconnect, which has to be read before the
-// write.
-bool InvokerConnection::client_has_unread_input(const UpstreamCall& call) const {
-    return loop_.was_lagging() && call.request->sink && call.request->sink->has_unread_input();
-}
-
 void InvokerConnection::write_calls_after(net::Time delay) {
     if (std::exchange(write_scheduled_, true)) return;
     loop_.call_at(loop_.now() + delay, [self = shared_from_this()] {
--- a/src/invoker_protocol/invoker_connection.hpp
+++ b/src/invoker_protocol/invoker_connection.hpp
@@ -80,7 +80,6 @@
     void cancel_overdue();
     net::Task<> wait_and_write(std::shared_ptr<InvokerConnection> self);
     bool has_unwritten() const;
-    bool client_has_unread_input(const UpstreamCall& call) const;
     void write(PendingCall& pending);
     bool write_attempt(PendingCall& pending, std::size_t start_offset);
     net::Time completion_deadline(const UpstreamCall& call) const;
--- a/src/web/connection.hpp
+++ b/src/web/connection.hpp
@@ -25,6 +25,7 @@
     void begin_stream(const ActiveRequest& request, unsigned status, std::string_view forwarded) override;
     void write_chunk(const ActiveRequest& request, std::string bytes) override;
     void end_stream(const ActiveRequest& request, bool is_complete) override;
+    bool has_unread_input() override { return !closing_ && stream_->has_unread(); }
     net::Task<bool> wait_writable() override;
 
     /// Closes the connection, unless a request on it is open or arriving. Called when the controller shuts down.
--- a/src/web/connection_pool.cpp
+++ b/src/web/connection_pool.cpp
@@ -19,10 +19,16 @@
                                gateway::ConnectionCounts& counts, std::string controller_name)
     : gateway::QueueingPool(loop, config, std::move(address), counts), controller_name_(std::move(controller_name)) {}
 
-ConnectionPool::~ConnectionPool() = default;
+ConnectionPool::~ConnectionPool() {
+    loop_.cancel(dispatch_timer_);
+}
 
 // Sends the call on an idle connection or a new one. Returns false if the call has to wait for a connection.
 bool ConnectionPool::dispatch(const Call& call) {
+    if (client_has_unread_input(*call)) {
+        dispatch_queued_later();
+        return false;
+    }
     while (!idle_.empty() && !call->fresh_connection) {
         const auto connection = idle_.back();
         idle_.pop_back();
@@ -41,6 +47,14 @@
     return true;
 }
 
+void ConnectionPool::dispatch_queued_later() {
+    if (dispatch_timer_.second) return;
+    dispatch_timer_ = loop_.call_at(loop_.now() + client_input_retry_delay, [this] {
+        dispatch_timer_ = {};
+        dispatch_queued();
+    });
+}
+
 void ConnectionPool::on_connection_free(const ConnectionPtr& connection) {
     idle_.push_back(connection);
     connection->start_idle_timer();
--- a/src/web/connection_pool.hpp
+++ b/src/web/connection_pool.hpp
@@ -38,10 +38,12 @@
     void on_connection_free(const ConnectionPtr& connection);
     void connection_closed(const ConnectionPtr& connection);
     void close_idle();
+    void dispatch_queued_later();
 
     const std::string controller_name_;
     std::vector<ConnectionPtr> connections_;
     std::vector<ConnectionPtr> idle_;  // subset of connections_, most recently used last
+    net::EventLoop::TimerKey dispatch_timer_{};
 };
 
 }  // namespace plumkeel::web
--- a/src/web/invoker_connection.cpp
+++ b/src/web/invoker_connection.cpp
@@ -114,6 +114,8 @@
     stream_ = std::move(connected.stream);
     write_queue_ = std::make_shared<net::WriteQueue>(loop_, stream_);
     http::ReadBuffer read_buffer(stream_, read_buffer_bytes);
+    while (call_ && pool_.client_has_unread_input(*call_))
+        co_await loop_.sleep(ConnectionPool::client_input_retry_delay);
     if (!is_open_) {
         stream_->close();  // the call was cancelled while connecting
     } else if (call_ && pool_.is_send_overdue(*call_)) {
