--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -157,11 +157,12 @@
     });
 }
 
-// Reconnects soon, but not later than planned while other connections wait for their first event.
+// Reconnects after a backoff, or as planned if a connection is to be opened earlier beside others.
 void Watcher::on_disconnected(const Disconnect& disconnect) {
     log_disconnect(disconnect);
     const net::Time retry_at = loop_.now() + next_backoff();
-    connect_at(subscriptions_.empty() ? retry_at : std::min(connect_at_, retry_at));
+    const bool is_planned = !subscriptions_.empty() && connect_at_ > loop_.now();
+    connect_at(is_planned ? std::min(connect_at_, retry_at) : retry_at);
 }
 
 void Watcher::log_disconnect(const Disconnect& disconnect) {
--- a/tests/discovery_reconnect_test.cpp
+++ b/tests/discovery_reconnect_test.cpp
@@ -189,6 +189,34 @@
     EXPECT_LE(discovery_server.subscriptions.size(), 36u);            // at least 1.8 s lie between two of them
 }
 
+/// An event loop that counts the connects.
+class CountingEventLoop : public net::SimulatedEventLoop {
+public:
+    Task<ConnectResult> connect(net::Address to, Time timeout) override {
+        ++connects;
+        return SimulatedEventLoop::connect(std::move(to), timeout);
+    }
+    int connects{};
+};
+
+// Guards against connecting without a pause: the server refuses connections while a silent watch is still open.
+TEST(RefusedConnects, AreSpacedOutBesideASilentWatch) {
+    CountingEventLoop loop;
+    PlatformConfig watch_config = load_platform_config(write_config(default_config));
+    watch_config.gateway.log.file = "/dev/null";
+    Log silent_log(loop, watch_config.gateway.log);
+    ScriptedDiscovery discovery_server(loop, "10.9.0.1");
+    discovery::Watcher watcher(
+        loop, silent_log, watch_config.labels, watch_config.discovery, 1, [](const discovery::WatchEvent&) {}, 1);
+    watcher.start();
+    loop.run(3s);
+    discovery_server.sends_heartbeats = false;
+    discovery_server.listener->close();
+    loop.run(15s);
+    EXPECT_GE(loop.connects, 5);
+    EXPECT_LE(loop.connects, 35);  // the backoff grows to 0.4 s or more within 0.6 s
+}
+
 // Watchers whose address changes at any time during a disconnect, backoff or reconnect soon subscribe at the new
 // address.
 TEST_F(DiscoveryReconnect, FollowsAnAddressChangeAtAnyInstant) {
