HTTP: notice that a client has left also when its next request has begun

What callers could see: attempts for nobody. A client that had sent a part of its next request and closed was not noticed before its response; in virtual time a second attempt left 2.1 s after it had gone.

Cause: web::Connection::wait_for_response() read only while nothing was buffered.

Change: with bytes buffered, the connection's end is looked for every 50 ms.

Test: HttpSendDeadline.AttemptOfAGoneClientWithPipelinedBytesIsNotSent failed before.

--- a/src/web/connection.cpp
+++ b/src/web/connection.cpp
@@ -19,8 +19,10 @@
 constexpr std::size_t max_pending_bytes = 64 * 1024;  // no request is read while more response bytes are unsent
 constexpr Time body_read_timeout = 3s;                // a body is rejected if no byte of it arrives for this long
 constexpr Time close_linger_time = 1s;                // between sending the last byte and closing the socket
-constexpr unsigned http_1_1 = 11;                     // number of HTTP/1.1 in Boost.Beast
-constexpr std::string_view api_version = "v1";        // first segment of all paths
+// While bytes of the next request are buffered; no attempt may begin over 0.1 s after its client has gone.
+constexpr Time disconnect_check_interval = 50ms;
+constexpr unsigned http_1_1 = 11;               // number of HTTP/1.1 in Boost.Beast
+constexpr std::string_view api_version = "v1";  // first segment of all paths
 
 std::int64_t round_up_to_seconds(Time duration) {
     return (duration + 1s - Time(1)) / 1s;
@@ -52,7 +54,8 @@
       read_buffer_(stream_, read_buffer_bytes),
       request_finished_(server.loop()),
       read_timer_(server.loop(), [this] { on_read_timeout(); }),
-      unread_timer_(server.loop(), [this] { on_unread_timeout(); }) {}
+      unread_timer_(server.loop(), [this] { on_unread_timeout(); }),
+      disconnect_check_timer_(server.loop(), [this] { request_finished_.notify(); }) {}
 
 net::EventLoop& Connection::loop() const {
     return gateway_.loop();
@@ -199,10 +202,13 @@
         if (read_buffer_.size() == 0) {
             const net::Error error = co_await read_buffer_.read_more();
             if (error) co_return false;
-        } else {
+        } else {  // no read is waiting that would notice the end of the connection
+            if (stream_->peer_closed()) co_return false;
+            disconnect_check_timer_.set(loop().now() + disconnect_check_interval);
             co_await request_finished_.wait();
         }
     }
+    disconnect_check_timer_.clear();
     co_return !closing_;
 }
 
--- a/src/web/connection.hpp
+++ b/src/web/connection.hpp
@@ -70,7 +70,7 @@
     http::ReadBuffer read_buffer_;
     ActiveRequest* request_{};  // the submitted request whose response is not complete, or null
     net::Notification request_finished_;
-    net::LazyTimer read_timer_, unread_timer_;
+    net::LazyTimer read_timer_, unread_timer_, disconnect_check_timer_;
     RejectionReason timeout_reason_{};  // reported when the read timer expires; none: close without a response
     std::size_t sent_bytes_at_timer_start_{};
     bool keep_alive_{}, chunked_{};  // properties of the current request
--- a/tests/http_send_deadline_test.cpp
+++ b/tests/http_send_deadline_test.cpp
@@ -48,6 +48,21 @@
     EXPECT_TRUE(invoker.attempts.empty());
 }
 
+// Guards against the same where the client has sent a part of its next request: its end is not read then, and a second
+// attempt would be sent after the first one was rejected.
+TEST_F(HttpSendDeadline, AttemptOfAGoneClientWithPipelinedBytesIsNotSent) {
+    ScriptedInvoker& invoker = add_invoker({Behaviour::rejects, Behaviour::responds});
+    start_gateway();
+    add_client(10ms, request("p", "") + "POST /v1/jobs/f HT", 30ms);
+    ScriptedClient& pipelining = add_client(1s, request("p", "") + request("p"));  // stays, and gets both responses
+    loop.run(5s);
+    EXPECT_EQ(pipelining.count("HTTP/1.1 200"), 2);
+    for (std::size_t i = 0; i < invoker.attempts.size(); ++i) {
+        if (!invoker.attempts[i].starts_with("1/")) continue;
+        EXPECT_LE(invoker.arrivals[i], 10ms + 30ms + 100ms) << invoker.attempts[i];
+    }
+}
+
 // Guards against an invoker that works for longer than its client waits: the attempt waits in the pool's queue, and has
 // to state the time that is left when it is sent.
 TEST_F(HttpSendDeadline, StatesTheTimeThatIsLeftWhenItLeavesTheQueue) {
