HTTP: after a pause, read pending drain notices before attempts are sent

What operators could see: an attempt for an invoker that began to drain during a pause of the process, though the notice had arrived.

Cause: the platform's edge lets one pass of the event loop go by before it writes while the thread lags, HTTP's edge did not.

Change: HTTP's pool queues a new attempt for one pass while the thread lags; an attempt that has waited is not held back again.

Test: HttpPause.RequestIsNotSentToAnInvokerThatBeganToDrainDuringThePause, on real sockets, failed before.

--- a/src/web/connection_pool.cpp
+++ b/src/web/connection_pool.cpp
@@ -25,7 +25,7 @@
 
 // Sends the call on an idle connection or a new one. Returns false if the call has to wait for a connection.
 bool ConnectionPool::dispatch(const Call& call) {
-    if (client_has_unread_input(*call)) {
+    if (may_have_unread_input(*call)) {
         dispatch_queued_later();
         return false;
     }
@@ -47,11 +47,20 @@
     return true;
 }
 
+// After a stall of this thread, the client's disconnect or a drain notice may be unread. Attempts wait for one
+// iteration of the event loop, and longer while there is unread input of their client.
+bool ConnectionPool::may_have_unread_input(const UpstreamCall& call) const {
+    const bool is_first_try = !is_dispatching_later_ && !call.has_priority();
+    return (is_first_try && loop_.is_lagging()) || client_has_unread_input(call);
+}
+
 void ConnectionPool::dispatch_queued_later() {
     if (dispatch_timer_.second) return;
     dispatch_timer_ = loop_.call_at(loop_.now() + client_input_retry_delay, [this] {
         dispatch_timer_ = {};
+        is_dispatching_later_ = true;
         dispatch_queued();
+        is_dispatching_later_ = false;
     });
 }
 
--- a/src/web/connection_pool.hpp
+++ b/src/web/connection_pool.hpp
@@ -38,12 +38,14 @@
     void on_connection_free(const ConnectionPtr& connection);
     void connection_closed(const ConnectionPtr& connection);
     void close_idle();
+    bool may_have_unread_input(const UpstreamCall& call) const;
     void dispatch_queued_later();
 
     const std::string controller_name_;
     std::vector<ConnectionPtr> connections_;
     std::vector<ConnectionPtr> idle_;  // subset of connections_, most recently used last
     net::EventLoop::TimerKey dispatch_timer_{};
+    bool is_dispatching_later_{};  // whether the queued calls have waited for unread input
 };
 
 }  // namespace plumkeel::web
