--- a/src/invoker_protocol/invoker_connection.cpp
+++ b/src/invoker_protocol/invoker_connection.cpp
@@ -14,11 +14,12 @@
 
 constexpr std::size_t read_buffer_bytes = 8 * 1024, max_line_bytes = 1024;
 // Longest time between writing the first and the last byte of an attempt. Bounds how outdated the remaining time in its
-// RUN line can be, and how long after a client's disconnect its request can start.
+// RUN line can be (the rules allow 0.15 s), and how long after a client's disconnect its request can start (0.1 s).
 constexpr Time incomplete_attempt_timeout = 90ms;
-constexpr std::size_t max_ended_requests = 64;  // bounds the memory for detecting late responses
-constexpr Time min_remaining_time = 1ms;        // shortest remaining time that a RUN line can state
-constexpr unsigned success_status = 200;        // the invoker protocol has no status codes
+// Bounds the memory for detecting late responses. A second response arrives milliseconds after the first.
+constexpr std::size_t max_ended_requests = 64;
+constexpr Time min_remaining_time = 1ms;  // shortest remaining time that a RUN line can state
+constexpr unsigned success_status = 200;  // the invoker protocol has no status codes
 
 }  // namespace
 
--- a/src/scheduler/capacity_tracker.hpp
+++ b/src/scheduler/capacity_tracker.hpp
@@ -15,7 +15,8 @@
 
     /// Records a rejected attempt. `had_free_copy` tells whether a copy with a free slot was expected at the invoker;
     /// if so, the invoker is sent nothing for a while. Otherwise it lacks capacity only for loads, and requests for
-    /// copies that it holds are still sent.
+    /// copies that it holds are still sent. Without this distinction, all invokers were backed off from while their
+    /// cores were idle (bench day "reload").
     void record_rejection(Invoker& invoker, bool had_free_copy);
     bool is_backing_off(const Invoker& invoker) const { return invoker.backpressure.backoff_until > context_.now; }
     bool is_full(const Invoker& invoker) const { return invoker.backpressure.full_until > context_.now; }
--- a/src/scheduler/load_estimator.cpp
+++ b/src/scheduler/load_estimator.cpp
@@ -96,7 +96,7 @@
 }
 
 // Includes requests without a response, since an invoker that becomes slow or loses responses would otherwise be judged
-// only by the requests that succeeded.
+// only by the requests that succeeded. Clients that disconnect early can make an invoker look slower than it is.
 void LoadEstimator::learn_from_unfinished(const Attempt& attempt) {
     const double duration_s = in_seconds(context_.now - attempt.sent_at);
     const double expected_s = attempt.request->function->run_time_s * expected_slowdown(attempt);
@@ -104,8 +104,8 @@
 }
 
 // An uncontended run updates the slowdown factor, a contended run the contention factor. If a contended run updated the
-// slowdown factor, the estimated contention would be too low and load shedding would not start. Most is learned per
-// invoker type, since one of many controllers sees few requests of a single invoker.
+// slowdown factor, the estimated contention would be too low and load shedding would not start (incident i977fe6).
+// Most is learned per invoker type, since one of many controllers sees few requests of a single invoker.
 void LoadEstimator::learn_slowdown(const Attempt& attempt, double duration_s) {
     Invoker& invoker = *attempt.invoker;
     InvokerType& type = *invoker.type;
@@ -180,7 +180,8 @@
 
 // Derived from load reports, and limited to the number of other controllers. Without reports, a controller that
 // receives several times the mean traffic would assume that all others are as busy as itself, and would shed requests
-// that the invokers have capacity for.
+// that the invokers have capacity for (bench day "calm+mass": a fifth of the controllers rejected a quarter of their
+// requests, the others one in a hundred).
 double LoadEstimator::others_per_own_request() const {
     const int other_controllers = context_.capabilities.controller_count - 1;
     if (report_count_ < min_reports_for_ratio || reported_own_per_capacity_ <= 0) return other_controllers;
--- a/src/scheduler/outlier_detection.cpp
+++ b/src/scheduler/outlier_detection.cpp
@@ -40,8 +40,9 @@
             set_state(invoker, HealthState::healthy);
             break;
         case HealthState::ejected:
-            // The invoker may have restarted before the endpoint list reports it, so it gets a slow start. If only its
-            // connection was interrupted, it is used less than possible until the slow start ends.
+            // The invoker may have restarted before the endpoint list reports it, so it gets a slow start (incident
+            // i4386e0). If only its connection was interrupted, it is used less than possible until the slow start
+            // ends.
             if (health.is_down) slow_start_.begin(invoker, context_.now);
             health.is_down = false;
             if (health.consecutive_successes < successes_to_recover) break;
--- a/src/scheduler/placement.cpp
+++ b/src/scheduler/placement.cpp
@@ -134,7 +134,8 @@
 }
 
 // A home without capacity still counts as scored. Otherwise, when memory is short, each function would be tried at
-// every invoker, and requests waiting for capacity would fill the queues of all invokers.
+// every invoker, and requests waiting for capacity would fill the queues of all invokers (bench day "big-2" of the site
+// quito-lector with few invokers).
 void Placement::score_home(Search& search, Invoker* invoker) {
     if (!invoker) return;
     const bool assumed_warm = search.shared_homes_are_warm && search.homes_accepted < search.shared_homes;
--- a/src/scheduler/probing.cpp
+++ b/src/scheduler/probing.cpp
@@ -53,7 +53,8 @@
 }
 
 // An invoker is overdue only when its oldest attempt takes longer than expected. With a fixed timeout, invokers that
-// run long requests would be probed by all controllers all the time.
+// run long requests would be probed by all controllers all the time (bench days "+mass": 3 probes per request, a
+// quarter of all that was earned).
 bool HealthProber::is_oldest_attempt_overdue(const Invoker& invoker) const {
     if (invoker.in_flight.empty()) return false;
     const Attempt& oldest_attempt = *invoker.in_flight.front();
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -329,7 +329,7 @@
 // Timers and periodic work
 
 /// Called first for each event. If a sweep is long overdue, this process stalled: attempts that were in flight look
-/// slow, but their invokers are not at fault.
+/// slow, but their invokers are not at fault (incident i544b59).
 void Scheduler::begin_call(Time now) {
     context_.now = now;
     if (next_sweep_ != Time{} && now > next_sweep_ + stall_threshold) context_.last_stall_end = now;
--- a/src/scheduler/slow_start.cpp
+++ b/src/scheduler/slow_start.cpp
@@ -6,6 +6,7 @@
 namespace plumkeel {
 namespace {
 
+/// The share of the budget that is used. Less than 1 would leave a margin for what a controller cannot see.
 constexpr double budget_use_share = 1.0;
 constexpr double service_rate_gain_per_sweep = 0.1;
 
