Platform signal tests: a file of their own each process, and no server left behind

Cause: the tests wrote fixed files in the temporary folder, which belonged to the earlier user, so that the server read a stale configuration; and a failed ASSERT left the server running, which kept ctest's output pipe open.

Change: the file names have the process id, and ServerProcess kills its server on destruction. No check or bound is changed; the wait's ASSERT_EQ is an EXPECT_EQ in ServerProcess::wait(), after which the checks of the status follow as before.

--- a/tests/platform_signals_test.cpp
+++ b/tests/platform_signals_test.cpp
@@ -97,22 +97,49 @@
         << R"("limits":{"send_cap":5},"fleet_size":1}})";
 }
 
-// Starts a process that serves with this configuration. `descriptors`: its limit of file descriptors; 0: unchanged.
-pid_t start_server(const std::string& file, rlim_t descriptors = 0) {
-    const pid_t child = ::fork();
-    if (child) return child;
-    if (const rlimit limit{descriptors, descriptors}; descriptors) ::setrlimit(RLIMIT_NOFILE, &limit);
-    _exit(serve(file, "error"));
+// Path of a configuration file of this process: tests run in parallel, and under more than one user.
+std::string config_file(const std::string& name) {
+    return testing::TempDir() + "/" + name + "." + std::to_string(::getpid()) + ".json";
 }
 
-// Kills the process; returns the CPU seconds that it used.
-double kill_and_measure_cpu(pid_t child) {
-    ::kill(child, SIGKILL);
-    rusage usage{};
-    EXPECT_EQ(::wait4(child, nullptr, 0, &usage), child);
-    return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
-           static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1e6;
-}
+// A process that serves with a configuration file. It is killed on destruction, so that a failed test leaves none.
+class ServerProcess {
+public:
+    // `descriptors`: limit of file descriptors; 0: unchanged.
+    explicit ServerProcess(const std::string& file, rlim_t descriptors = 0) : pid_(::fork()) {
+        if (pid_) return;
+        if (const rlimit limit{descriptors, descriptors}; descriptors) ::setrlimit(RLIMIT_NOFILE, &limit);
+        _exit(serve(file, "error"));
+    }
+    ~ServerProcess() {
+        if (pid_ <= 0) return;
+        ::kill(pid_, SIGKILL);
+        ::waitpid(pid_, nullptr, 0);
+    }
+    ServerProcess(const ServerProcess&) = delete;
+    ServerProcess& operator=(const ServerProcess&) = delete;
+
+    void signal(int number) const { ::kill(pid_, number); }
+    // Waits for the process to end; returns its wait status.
+    int wait() {
+        int status = 0;
+        EXPECT_EQ(::waitpid(pid_, &status, 0), pid_);
+        pid_ = 0;
+        return status;
+    }
+    // Kills the process; returns the CPU seconds that it used.
+    double kill_and_measure_cpu() {
+        signal(SIGKILL);
+        rusage usage{};
+        EXPECT_EQ(::wait4(pid_, nullptr, 0, &usage), pid_);
+        pid_ = 0;
+        return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+               static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1e6;
+    }
+
+private:
+    pid_t pid_;
+};
 
 bool becomes_healthy(std::uint16_t port) {
     for (int i = 0; i < 100; ++i, std::this_thread::sleep_for(50ms))
@@ -123,44 +150,41 @@
 const std::string subscription_from_event_6("\0\0\0\0\0\0\0\6", 8);
 
 TEST(PlatformSignals, SighupMovesDiscoveryAndSigtermShutsDownLeavingTheAddressFree) {
-    const std::string file = testing::TempDir() + "/signals_config.json";
+    const std::string file = config_file("signals_config");
     ListeningSocket discovery, moved_discovery;
     const std::uint16_t port = free_port();
     write_config(file, port, discovery.port);
-    const pid_t first_server = start_server(file);
+    ServerProcess first_server(file);
     ASSERT_TRUE(becomes_healthy(port));
     EXPECT_EQ(discovery.subscription(), subscription_from_event_6);
 
     std::ofstream(file) << "{\"name\":";  // malformed: the previous configuration stays in effect
-    ::kill(first_server, SIGHUP);
+    first_server.signal(SIGHUP);
     std::this_thread::sleep_for(200ms);
     EXPECT_EQ(health_status(port), "200");
     write_config(file, port, moved_discovery.port);
-    ::kill(first_server, SIGHUP);
+    first_server.signal(SIGHUP);
     EXPECT_EQ(moved_discovery.subscription(), subscription_from_event_6);
 
-    ::kill(first_server, SIGTERM);
+    first_server.signal(SIGTERM);
     std::this_thread::sleep_for(400ms);
     EXPECT_EQ(health_status(port), "200");  // clients may still connect
-    int status = 0;
-    ASSERT_EQ(::waitpid(first_server, &status, 0), first_server);
+    const int status = first_server.wait();
     EXPECT_TRUE(WIFEXITED(status));
     EXPECT_EQ(WEXITSTATUS(status), 0);
     EXPECT_EQ(health_status(port), "");
 
-    const pid_t second_server = start_server(file);  // restarts at the same address without delay
+    ServerProcess second_server(file);  // restarts at the same address without delay
     EXPECT_TRUE(becomes_healthy(port));
-    ::kill(second_server, SIGKILL);
-    ::waitpid(second_server, &status, 0);
 }
 
 // Idle clients take more descriptors than the limit while the discovery service is unreachable. Other clients must be
 // served, the controller must reconnect to discovery when it is back, and no busy loop may use up the CPU.
 TEST(PlatformDescriptors, IdleClientsDoNotKeepOutOtherClientsOrDiscovery) {
-    const std::string file = testing::TempDir() + "/descriptors_config.json";
+    const std::string file = config_file("descriptors_config");
     const std::uint16_t port = free_port(), discovery_port = free_port();
     write_config(file, port, discovery_port, 120);
-    const pid_t child = start_server(file, 256);
+    ServerProcess server(file, 256);
     ASSERT_TRUE(becomes_healthy(port));
     std::vector<int> idle_clients;
     const sockaddr_in address = loopback(port);
@@ -173,18 +197,18 @@
     EXPECT_EQ(discovery.subscription(), subscription_from_event_6);
     EXPECT_EQ(health_status(port), "200");
     for (const int each : idle_clients) ::close(each);
-    EXPECT_LT(kill_and_measure_cpu(child), 1.0);
+    EXPECT_LT(server.kill_and_measure_cpu(), 1.0);
 }
 
 // The platform requires a controller to be ready within 10 s on a tenth of a core, which is one CPU second. Here 120
 // invokers are listed and discovery is unreachable.
 TEST(PlatformStart, TakesLessThanOneCpuSecond) {
-    const std::string file = testing::TempDir() + "/ready_config.json";
+    const std::string file = config_file("ready_config");
     const std::uint16_t port = free_port();
     write_config(file, port, free_port(), 120);
-    const pid_t child = start_server(file);
+    ServerProcess server(file);
     EXPECT_TRUE(becomes_healthy(port));
-    const double cpu_seconds = kill_and_measure_cpu(child);
+    const double cpu_seconds = server.kill_and_measure_cpu();
     RecordProperty("cpu_ms", static_cast<int>(cpu_seconds * 1000));
     EXPECT_LT(cpu_seconds, 1.0);
 }
