--- a/review/standins2.py
+++ b/review/standins2.py
@@ -1,6 +1,6 @@
 """Stand-ins for the review's cases 6 to 10: FastCGI clients, invokers, the notice board, and the controller's process.
 They use the standard library only, listen on 127.0.0.0/8 and read the machine's clocks without changing them."""
-import asyncio, json, logging, os, random, shutil, signal, socket, struct, subprocess, sys, tempfile, time
+import asyncio, json, logging, os, random, resource, shutil, signal, socket, struct, subprocess, sys, tempfile, time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
@@ -448,6 +448,8 @@
 def main(case, folder):
     """Runs case(record, work_folder, trouble) -> list of broken rules; exits with 1, 0 or 2 as the issue says."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, 4096) if hard > 0 else 4096, hard))
     record = Record(os.path.join(folder, "record.txt"))
     work = tempfile.mkdtemp()
     status = 2
@@ -457,7 +459,7 @@
         broken = asyncio.run(asyncio.wait_for(case(record, work, trouble), 110))
         for line in broken:
             record.write("BROKEN " + line)
-            print("BROKEN", line)
+        print("\n".join("BROKEN " + line for line in broken[:5]), "..." if len(broken) > 5 else "")
         print("verdict:", "broken" if broken else "held")
         status = 1 if broken else 0
     except (CannotRun, OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
