Scheduler: no attempt is started that has less time than its own timer needs

Cause: one late call of wake() started an attempt (to_send) and cancelled it (to_cancel): a retry began with less than two units of clock_resolution left, the timer of its request was due already, and the same call ran it. The gateway cancels before it sends. Evidence: the scheduler alone under random lateness returns such a call, with and without hedging; in virtual time a pause that ends just before deadlines ends the old gateway with a segmentation fault. Change: place() ends such a request with deadline_exceeded and may_attempt() allows no attempt then. reroute() takes the list of attempts before it retries functions. Actions states the contract, keeps_contract() checks it; the gateway counts and logs a cancel of an unsent attempt (cancelled_before_sent) instead of following it.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -227,8 +227,15 @@
 }
 
 void Gateway::cancel_attempt(const Attempt& attempt) {
-    const auto& call = active_request(*attempt.request).calls[static_cast<std::size_t>(attempt.number)];
-    call->endpoint().pool->cancel(*call);
+    const ActiveRequest& request = active_request(*attempt.request);
+    const auto number = static_cast<std::size_t>(attempt.number);
+    const bool was_sent = number < request.calls.size();
+    invariants_.check(was_sent, Invariant::cancelled_before_sent, [&] {
+        return Invariants::Fields{{"request", request.name}, {"request_id", request.id}, {"attempt", attempt.number}};
+    });
+    if (!was_sent) return;
+    AttemptCall& call = *request.calls[number];
+    call.endpoint().pool->cancel(call);
 }
 
 void Gateway::send_attempt(Attempt& attempt) {
--- a/src/gateway/invariants.cpp
+++ b/src/gateway/invariants.cpp
@@ -7,8 +7,10 @@
 
 std::string_view name_of(Invariant invariant) {
     static constexpr std::string_view names[] = {
-        "attempt_after_end",  "attempt_past_deadline", "too_many_attempts", "two_attempts_out",         "unsafe_repeat",
-        "attempt_to_drained", "closed_with_requests",  "answered_late",     "refused_what_may_have_run"};
+        "attempt_after_end",    "attempt_past_deadline", "too_many_attempts",
+        "two_attempts_out",     "unsafe_repeat",         "attempt_to_drained",
+        "closed_with_requests", "answered_late",         "refused_what_may_have_run",
+        "cancelled_before_sent"};
     static_assert(std::size(names) == invariant_count);
     return names[static_cast<std::size_t>(invariant)];
 }
--- a/src/gateway/invariants.hpp
+++ b/src/gateway/invariants.hpp
@@ -25,9 +25,10 @@
     connection_closed_with_requests,  ///< the gateway closed a client connection with open requests
     late_response,                    ///< the final response was sent too long after the deadline
     unproven_rejection,               ///< a client was told without proof that its request had no effect
+    cancelled_before_sent,            ///< the scheduler cancelled an attempt that it had not handed over to be sent
 };
 
-constexpr std::size_t invariant_count = static_cast<std::size_t>(Invariant::unproven_rejection) + 1;
+constexpr std::size_t invariant_count = static_cast<std::size_t>(Invariant::cancelled_before_sent) + 1;
 
 /// The name used in the label of plumkeel_invariants_broken_total, in the status document and in the log.
 std::string_view name_of(Invariant invariant);
--- a/src/scheduler/actions.hpp
+++ b/src/scheduler/actions.hpp
@@ -49,6 +49,9 @@
 enum class TraceDetail { none, transitions, candidates };
 
 /// The host carries out the lists in the order of these fields.
+///
+/// An attempt is in `to_cancel` only after an earlier call has returned it in `to_send`, and no attempt in `to_send`
+/// belongs to a completed request (keeps_contract()). This holds however late the host makes its calls.
 struct Actions {
     std::vector<Attempt*> to_cancel;
     std::vector<Request*> completed;
@@ -63,4 +66,7 @@
     std::vector<StateTransition> transitions;
 };
 
+/// Whether the attempts in the lists are as the contract of Actions says.
+bool keeps_contract(const Actions& actions);
+
 }  // namespace plumkeel
--- a/src/scheduler/request_lifecycle.cpp
+++ b/src/scheduler/request_lifecycle.cpp
@@ -32,7 +32,7 @@
         context_.actions.transitions.push_back({&request, to, reason, attempt, context_.trace.candidates()});
     context_.trace.clear_candidates();
     if (from == RequestState::parked && to != RequestState::parked) leave_parking(request);
-    const Time latest_response_at = request.deadline - 2 * context_.capabilities.clock_resolution;
+    const Time response_deadline = latest_response_at(request, context_.capabilities);
     switch (to) {
         case RequestState::received:
             break;
@@ -41,11 +41,11 @@
             // Parked requests are rejected when a run no longer fits before the deadline.
             context_.timers.set(
                 request.timer,
-                latest_response_at - from_seconds(request.function->run_time_s * min_run_time_share_before_deadline),
+                response_deadline - from_seconds(request.function->run_time_s * min_run_time_share_before_deadline),
                 {&request, nullptr});
             break;
         case RequestState::in_flight:
-            context_.timers.set(request.timer, latest_response_at, {&request, nullptr});
+            context_.timers.set(request.timer, response_deadline, {&request, nullptr});
             break;
         case RequestState::streaming:
             context_.timers.cancel(request.timer);
--- a/src/scheduler/retry_policy.cpp
+++ b/src/scheduler/retry_policy.cpp
@@ -36,8 +36,12 @@
 
 }  // namespace
 
+Time latest_response_at(const Request& request, const Capabilities& capabilities) {
+    return request.deadline - 2 * capabilities.clock_resolution;
+}
+
 bool may_attempt(const Request& request, const Invoker& invoker, Time now, const Capabilities& capabilities) {
-    if (request.is_completed() || now >= request.deadline) return false;
+    if (request.is_completed() || now >= latest_response_at(request, capabilities)) return false;
     if (static_cast<int>(request.attempts.size()) >= capabilities.max_attempts) return false;
     return std::ranges::all_of(request.attempts, [&](const Attempt& earlier) {
         return now < deadline_after(request, earlier, invoker, capabilities);
--- a/src/scheduler/retry_policy.hpp
+++ b/src/scheduler/retry_policy.hpp
@@ -11,6 +11,10 @@
            outcome == AttemptOutcome::never_sent || outcome == AttemptOutcome::load_failed;
 }
 
+/// The time from which a response can't reach the client before the request's deadline any more, since the clocks of
+/// the host and of the client may each be off by one unit of their resolution.
+Time latest_response_at(const Request& request, const Capabilities& capabilities);
+
 /// Whether the request may be sent (again) to this invoker now, by its class, the attempt limit and its deadline.
 bool may_attempt(const Request& request, const Invoker& invoker, Time now, const Capabilities& capabilities);
 
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/scheduler.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 #include "scheduler/retry_policy.hpp"
@@ -52,6 +53,9 @@
 // of its function ends, and when an attempt ended without a response and another one is allowed.
 void Scheduler::place(Request& request) {
     Function& function = *request.function;
+    // The timer of an attempt that begins now would be due in this call, which would end the attempt before it is sent.
+    if (context_.now >= latest_response_at(request, context_.capabilities))
+        return lifecycle_.reject_or_fail(request, DecisionReason::deadline_exceeded);
     if (static_cast<int>(request.attempts.size()) >= context_.capabilities.max_attempts)
         return lifecycle_.reject_or_fail(request, DecisionReason::attempts_exhausted);
     if (!request.has_attempt_in_flight() && !may_run_again(request, context_.now, context_.capabilities))
@@ -220,7 +224,7 @@
         return lifecycle_.transition(request, RequestState::cancelled, DecisionReason::response_truncated);
     // The request continues when its other attempt ends or its function's backoff ends.
     if (request.has_attempt_in_flight() || request.state == RequestState::parked) return;
-    if (context_.now + 2 * capabilities.clock_resolution >= request.deadline)
+    if (context_.now >= latest_response_at(request, capabilities))
         return lifecycle_.reject_or_fail(request, DecisionReason::deadline_exceeded);
     // Step 1 of the design: the attempt never ran, so the request waits for the next retry.
     if (never_ran(*ended.outcome) && may_run_again(request, context_.now, capabilities))
@@ -311,10 +315,12 @@
 /// not allowed, the attempt is cancelled first.
 void Scheduler::reroute(Invoker& invoker) {
     if (outlier_detection_.is_panic_mode()) return;
+    // Not the attempts that finish_load() starts: those are not sent yet, so they can't be cancelled.
+    const std::vector<Attempt*> unanswered = invoker.in_flight;
     for (Function* function : context_.functions.loading.members())
         if (function->current_load.invoker == &invoker) finish_load(*function);
     const Capabilities& capabilities = context_.capabilities;
-    for (Attempt* attempt : std::vector<Attempt*>(invoker.in_flight)) {
+    for (Attempt* attempt : unanswered) {
         Request& request = *attempt->request;
         if (request.state != RequestState::in_flight || attempt != &request.attempts.back()) continue;
         const PlacementChoice choice = placement_.choose(request);
@@ -346,6 +352,7 @@
     }
     context_.trace.clear_candidates();
     context_.actions.next_wake = std::min(next_sweep_, context_.timers.next_due());
+    assert(keeps_contract(context_.actions));
     return std::exchange(context_.actions, {});
 }
 
