Discovery: SIGHUP applies the events of the new file, not its address alone

Cause: PlatformServer::reconfigure() took the address and dropped the decoded events. Change: Watcher::apply_known_events() passes them through the sequence check of the watch: received ones are skipped, those behind a gap are left to the service. The first event counts as a whole list at the start only.

--- a/src/discovery/initial_events.cpp
+++ b/src/discovery/initial_events.cpp
@@ -33,7 +33,7 @@
         const json& pool = platform_settings::object_or_empty(notice, "pool");
         event.number = require<std::uint64_t>(notice, "rev");
         event.has_changes = true;
-        event.is_complete = events.size() == 1 || get_or<bool>(pool, "all");
+        event.is_complete = get_or<bool>(pool, "all");
         const json targets = get_or<json>(pool, "targets", json::array());
         if (targets.size() > max_records)
             throw platform_settings::SettingsError(fmt::format(
--- a/src/discovery/watcher.cpp
+++ b/src/discovery/watcher.cpp
@@ -44,6 +44,14 @@
     connect_at(loop_.now());
 }
 
+void Watcher::apply_known_events(const std::vector<WatchEvent>& events) {
+    for (const WatchEvent& event : events) {
+        const SequenceCheck check = sequence_.check(event);
+        if (check == SequenceCheck::gap) return;
+        if (check == SequenceCheck::accepted) on_event_(event);
+    }
+}
+
 // Opens a connection whenever the service has been silent for too long on all others.
 net::Task<> Watcher::run() {
     for (;;) {
--- a/src/discovery/watcher.hpp
+++ b/src/discovery/watcher.hpp
@@ -44,6 +44,9 @@
     void start();
     /// Reconnects to another address of the service; event numbers continue.
     void set_address(net::Address address);
+    /// Delivers the events of a newer configuration file that have not been received yet. Events that do not continue
+    /// from the last one received are ignored: the service sends them again.
+    void apply_known_events(const std::vector<WatchEvent>& events);
     /// Number of the last event applied.
     std::uint64_t last_event_number() const { return sequence_.last_accepted(); }
     /// When the last event arrived, which confirmed that the list of endpoints was up to date.
--- a/src/platform/platform_server.cpp
+++ b/src/platform/platform_server.cpp
@@ -1,6 +1,7 @@
 #include "platform/platform_server.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "net/usage.hpp"
 
@@ -38,7 +39,7 @@
 }
 
 net::Error PlatformServer::open() {
-    for (const discovery::WatchEvent& event : config_.initial_events) on_event(event);
+    apply_initial_events();
     watcher_.start();
     gateway_.start();
     const net::Error error = server_.open();
@@ -48,6 +49,15 @@
     return {};
 }
 
+// The first event holds the whole list, whether it says so or not: there is none before it.
+void PlatformServer::apply_initial_events() {
+    bool is_first = true;
+    for (discovery::WatchEvent event : config_.initial_events) {
+        event.is_complete = std::exchange(is_first, false) || event.is_complete;
+        on_event(event);
+    }
+}
+
 void PlatformServer::log_start() {
     const GatewayConfig& config = config_.gateway;
     log_.write(Log::Level::info, "server_started",
@@ -73,6 +83,7 @@
 }
 
 void PlatformServer::reconfigure(const PlatformConfig& config) {
+    watcher_.apply_known_events(config.initial_events);
     watcher_.set_address(config.discovery);
 }
 
--- a/src/platform/platform_server.hpp
+++ b/src/platform/platform_server.hpp
@@ -15,7 +15,8 @@
 
     /// Starts discovery and the gateway, then listens for clients.
     net::Error open();
-    /// Applies a new configuration: only the discovery service's address may change at run time.
+    /// Applies a new configuration: the events that the file holds beyond those received, and the address of the
+    /// discovery service. Nothing else may change at run time.
     void reconfigure(const PlatformConfig& config);
     /// Accepts clients for a grace period, then stops listening. Calls `on_stopped` once every request has its response
     /// and all connections to clients are closed.
@@ -24,6 +25,7 @@
     const discovery::Watcher& watcher() const { return watcher_; }
 
 private:
+    void apply_initial_events();
     void on_event(const discovery::WatchEvent& event);
     void log_start();
     void schedule_lag_check();
