FastCGI: bounds on a connection's work in an iteration and on useless input

Cause: all records of a read (1,000 in 8 KB) were handled in one iteration, each answered by a write of its own, without end; nothing ended such a connection. Change: 32 records of a connection in an iteration, replies written together. GlitchLimiter bounds input that does no work; a connection over the limit accepts no more requests, is held unread for 0.25 s after its open ones are answered, and closes.

--- a/src/fastcgi/connection.cpp
+++ b/src/fastcgi/connection.cpp
@@ -22,7 +22,20 @@
 // The connection is closed when this many bytes of rejected requests have arrived since the last accepted request.
 constexpr std::size_t max_discarded_bytes = 256 * 1024;
 constexpr std::size_t typical_rejection_bytes = 192;
-constexpr Time malformed_read_pause = 1ms;  // limits the CPU time that a client can use up with malformed input
+// Records of one connection that are handled in one iteration of the event loop: eight requests or so.
+constexpr std::uint64_t max_records_per_iteration = 32;
+// Between two reads of a connection that sent malformed input or too many glitches: limits its CPU time.
+constexpr Time faulty_read_pause = 1ms;
+// How long a connection that exceeded the limit on glitches stays open unread: limits the rate at which a client that
+// floods one connection after another can do so.
+constexpr Time flood_hold_time = 250ms;
+constexpr Time flood_hold_check_interval = 50ms;
+
+// Whether the request was rejected for what the client sent, not for what the controller lacks.
+bool is_client_fault(RejectionReason reason) {
+    return reason != RejectionReason::none && reason != RejectionReason::no_memory &&
+           reason != RejectionReason::closing && reason != RejectionReason::too_many_requests;
+}
 
 std::uint16_t request_id_of(const ActiveRequest& request) {
     return static_cast<std::uint16_t>(request.sink_request_id);
@@ -60,15 +73,21 @@
     std::vector<char> buffer(read_buffer_bytes);
     // Keeps reading while requests are open, so that an abort or a disconnect of the client is noticed at once.
     while (!closing_) {
+        if (glitches_.is_exceeded() && open_requests_.empty()) {
+            co_await hold_and_close();
+            break;
+        }
         const net::TransferResult result = co_await stream_->read(net::asio::buffer(buffer));
         if (result.error || closing_) break;
         last_activity_ = loop().now();
         read_at_ = last_activity_;
         note_unread_time(result.lag);
-        parse({buffer.data(), result.bytes});
+        std::string_view input(buffer.data(), result.bytes);
+        parse(input);
+        if (!input.empty()) co_await parse_in_passes(input);
         if (unread_since_ && !stream_->has_unread()) unread_since_.reset();
         if (!enforce_rejection_limit()) break;
-        if (malformed_) co_await loop().sleep(malformed_read_pause);
+        if (malformed_ || glitches_.is_exceeded()) co_await loop().sleep(faulty_read_pause);
     }
     while (!open_requests_.empty()) cancel(open_requests_.begin()->first);
     while (closing_ && !closed_) co_await closed_notification_.wait();
@@ -103,10 +122,28 @@
     return std::min(max_unread_time, stream_->time_since_last_receive().value_or(max_unread_time));
 }
 
-void Connection::parse(std::string_view bytes) {
-    if (malformed_) return;
+// Parses the rest of what was read, a part in each iteration of the event loop, so that other connections and timers
+// don't wait for a client that sends much. If the connection closes meanwhile, the requests in it are answered at once.
+net::Task<> Connection::parse_in_passes(std::string_view input) {
+    has_unparsed_input_ = true;
+    while (!input.empty()) {
+        if (!closing_) co_await loop().yield();
+        parse(input);
+    }
+    has_unparsed_input_ = false;
+}
+
+// Parses records from the front of `input` and removes them, up to max_records_per_iteration. The replies are written
+// together.
+void Connection::parse(std::string_view& input) {
+    if (malformed_) {
+        input = {};
+        return;
+    }
+    const net::WriteQueue::Batch batch(*write_queue_);
     const std::uint64_t records_before = parser_.record_count();
-    malformed_ = !parser_.feed(bytes, *this);
+    malformed_ = !parser_.feed(input, *this, max_records_per_iteration);
+    if (malformed_) input = {};
     if (parser_.record_count() != records_before || !parser_.in_record()) last_record_completed_at_ = last_activity_;
     if (malformed_) gateway_.admission().count(RejectionReason::malformed);
     if (!update_reservation()) reject_incomplete_requests();
@@ -114,6 +151,26 @@
         close_when_drained();
 }
 
+void Connection::record_glitch() {
+    const bool was_exceeded = glitches_.is_exceeded();
+    glitches_.record(loop().now());
+    if (was_exceeded || !glitches_.is_exceeded()) return;
+    gateway_.admission().count(RejectionReason::malformed);
+    gateway_.log().write(Log::Level::info, "client_flooding",
+                         {{"connection", id_}, {"open_requests", open_requests_.size()}});
+}
+
+// Leaves the connection open and unread for a while, then closes it; at once if the controller shuts down. A client
+// that has not read its replies by then is not waited for.
+net::Task<> Connection::hold_and_close() {
+    is_held_ = true;
+    const Time hold_until = loop().now() + flood_hold_time;
+    while (!closing_ && loop().now() < hold_until && !gateway_.admission().closing())
+        co_await loop().sleep(flood_hold_check_interval);
+    if (write_queue_->pending_bytes() > 0) reset_connection();
+    close_gracefully();
+}
+
 // Reserves memory with admission for the bytes buffered of incomplete requests; returns false if its limit is reached.
 bool Connection::update_reservation() {
     const std::size_t held_bytes = parser_.held_bytes();
@@ -147,11 +204,11 @@
     incomplete_requests_.erase(request_id);
     received_request_ = true;
     const auto fields = parse_fields(message.params);
-    if (!fields) return reject(request_id, RejectionReason::malformed, message.keep_connection);
+    if (!fields) return reject_invalid(request_id, RejectionReason::malformed, message.keep_connection);
     const Paths& paths = server_.paths();
     if (!fields->path.starts_with(paths.requests)) {
         if (fields->path != paths.health)
-            return reject(request_id, RejectionReason::no_such_path, message.keep_connection);
+            return reject_invalid(request_id, RejectionReason::no_such_path, message.keep_connection);
         open_requests_[request_id] = {nullptr, message.keep_connection};
         return write_response(request_id, encode_health(request_id, gateway_.admission().closing()));
     }
@@ -159,13 +216,14 @@
     RejectionReason reason = parse_request(*fields, fields->path.substr(paths.requests.size()), message.body.size(),
                                            gateway_.config(), gateway_.admission().limits(), request);
     if (reason == RejectionReason::none) reason = admit(message, request);
+    if (is_client_fault(reason)) return reject_invalid(request_id, reason, message.keep_connection);
     if (reason != RejectionReason::none) return reject(request_id, reason, message.keep_connection);
     submit(std::move(message), std::move(request));
 }
 
 // Reserves memory for the request's body and counts the request as open, or returns the reason for its rejection.
 RejectionReason Connection::admit(const RequestMessage& message, const IncomingRequest& request) {
-    if (draining_) return RejectionReason::too_many_requests;
+    if (draining_ || glitches_.is_exceeded()) return RejectionReason::too_many_requests;
     // Further requests of a client that does not read its responses are rejected.
     if (open_requests_.size() >= ParserLimits{}.max_requests ||
         write_queue_->pending_bytes() > max_pending_response_bytes)
@@ -195,7 +253,9 @@
 
 void Connection::on_request_error(std::uint16_t request_id, RequestError error, bool keep_connection) {
     incomplete_requests_.erase(request_id);
+    record_glitch();
     if (error == RequestError::duplicate_id) cancel(request_id);
+    if (glitches_.is_exceeded()) return;
     switch (error) {
         case RequestError::unsupported_role:
             gateway_.admission().count(RejectionReason::malformed);
@@ -213,6 +273,7 @@
 
 void Connection::on_abort(std::uint16_t request_id) {
     incomplete_requests_.erase(request_id);
+    record_glitch();
     if (!open_requests_.count(request_id)) return;  // the response has been written already
     cancel(request_id);
     write_control(encode_end_request(request_id, 0, ProtocolStatus::request_complete, false));
@@ -231,27 +292,37 @@
 }
 
 void Connection::on_get_values(std::string_view names) {
+    record_glitch();
+    if (glitches_.is_exceeded()) return;
     write_control(encode_values(names, gateway_.admission().limits().max_connections, ParserLimits{}.max_requests));
 }
 
 void Connection::on_unknown_type(std::uint8_t type) {
-    write_control(encode_unknown_type(type));
+    record_glitch();
+    if (!glitches_.is_exceeded()) write_control(encode_unknown_type(type));
 }
 
 // ---------------------------------------------------------------- responses
 
 void Connection::send_response(const ActiveRequest& request, unsigned, std::string_view, std::string body) {
+    glitches_.request_answered();
     server_.open_request_ids().erase(request.name);
     const std::uint16_t request_id = request_id_of(request);
     write_response(request_id, encode_success(request_id, body));
 }
 
 void Connection::send_rejection(const ActiveRequest& request) {
+    glitches_.request_answered();
     server_.open_request_ids().erase(request.name);
     const std::uint16_t request_id = request_id_of(request);
     write_response(request_id, encode_rejection(request_id, request));
 }
 
+void Connection::reject_invalid(std::uint16_t request_id, RejectionReason reason, bool keep_connection) {
+    record_glitch();
+    reject(request_id, reason, keep_connection);
+}
+
 // Writes the rejection of a request that has not been submitted to the gateway.
 void Connection::reject(std::uint16_t request_id, RejectionReason reason, bool keep_connection) {
     Admission& admission = gateway_.admission();
--- a/src/fastcgi/connection.hpp
+++ b/src/fastcgi/connection.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 
+#include "fastcgi/glitch_limiter.hpp"
 #include "fastcgi/request_parser.hpp"
 #include "fastcgi/write_stall_detector.hpp"
 #include "gateway/gateway.hpp"
@@ -42,7 +43,11 @@
     /// Whether a complete request has arrived on this connection.
     bool has_received_request() const { return received_request_; }
     net::Time last_activity() const { return last_activity_; }
-    bool has_unread_input() override { return !closing_ && stream_->has_unread(); }
+    bool has_unread_input() override {
+        return !closing_ && !is_held_ && (has_unparsed_input_ || stream_->has_unread());
+    }
+    /// Whether the connection has exceeded the limit on glitches, and is only kept open for a while before it closes.
+    bool is_held() const { return is_held_ && !closing_; }
     /// Closes the connection once all pending bytes have been written.
     void close_gracefully();
     /// Closes the socket at once: for an idle connection whose descriptor is needed.
@@ -60,6 +65,7 @@
     void on_request(RequestMessage message) override;
     void on_request_error(std::uint16_t request_id, RequestError error, bool keep_connection) override;
     void on_abort(std::uint16_t request_id) override;
+    void on_ignored_record() override { record_glitch(); }
     void on_get_values(std::string_view names) override;
     void on_unknown_type(std::uint8_t type) override;
     bool is_pending(std::uint16_t request_id) const override { return open_requests_.count(request_id) > 0; }
@@ -69,7 +75,10 @@
     bool enforce_rejection_limit();
     void note_unread_time(Time lag);
     Time unread_time();
-    void parse(std::string_view bytes);
+    net::Task<> parse_in_passes(std::string_view input);
+    void parse(std::string_view& input);
+    void record_glitch();
+    net::Task<> hold_and_close();
     bool update_reservation();
     void reject_incomplete_requests();
 
@@ -80,6 +89,7 @@
 
     // Writing of responses:
     void reject(std::uint16_t request_id, RejectionReason reason, bool keep_connection);
+    void reject_invalid(std::uint16_t request_id, RejectionReason reason, bool keep_connection);
     void write_response(std::uint16_t request_id, std::string records);
     void write_control(std::string record);
     void request_finished(std::uint16_t request_id);
@@ -105,12 +115,15 @@
     net::LazyTimer timeout_timer_;
     net::Notification closed_notification_;
     WriteStallDetector write_stall_detector_;
+    GlitchLimiter glitches_;
     net::Time read_at_{}, last_activity_{};
     net::Time last_record_completed_at_{};     // when the last complete record arrived
     std::optional<net::Time> unread_since_;    // earliest time at which the input read now may have arrived
     std::size_t reserved_bytes_{};             // memory reserved with admission for incomplete requests
     std::size_t unread_rejection_bytes_{};     // rejections and control records that the client may not have read
     std::size_t discarded_bytes_at_submit_{};  // parser_.discarded_bytes() when the last request was submitted
+    bool has_unparsed_input_{};                // input was read and waits for a later iteration of the event loop
+    bool is_held_{};                           // see is_held()
     bool received_request_{};
     bool client_asked_to_close_{};  // a request lacked FCGI_KEEP_CONN
     bool malformed_{};              // the input is not valid FastCGI; it is no longer parsed
--- a/src/fastcgi/connection_timeouts.cpp
+++ b/src/fastcgi/connection_timeouts.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr Time linger_time = 200ms;  // time for the client to read the last response before the socket is closed
+constexpr Time linger_time = 200ms;      // time for the client to read the last response before the socket is closed
+constexpr Time held_linger_time = 50ms;  // the same for a connection that was held open already
 
 }  // namespace
 
@@ -30,7 +31,7 @@
     if (!check_unread_responses(now)) return;
     timeout_timer_.set(now + timeout_check_interval);
     // Input that is not read yet may complete a request or record: only the next check may time it out.
-    if (closing_ || stream_->has_unread()) return;
+    if (closing_ || has_unparsed_input_ || stream_->has_unread()) return;
     reject_slow_requests(now);
     // An incomplete record blocks only later records, so the connection stays open until open requests have responses.
     const bool has_stalled_record =
@@ -38,8 +39,10 @@
     const bool is_silent = !received_request_ && open_requests_.empty() && now - last_activity_ >= limits.head_timeout;
     const bool is_idle_too_long =
         open_requests_.empty() && !parser_.in_request() && now - last_activity_ >= limits.idle_timeout;
+    // Its client has stopped sending, so run() does not get to hold_and_close().
+    const bool is_rejected = glitches_.is_exceeded() && open_requests_.empty() && !is_held_;
     if (has_stalled_record || is_silent) gateway_.admission().count(RejectionReason::head_too_slow);
-    if (has_stalled_record || is_silent || is_idle_too_long) close_gracefully();
+    if (has_stalled_record || is_silent || is_idle_too_long || is_rejected) close_gracefully();
 }
 
 // Resets the connection and returns false if the client has read nothing of the pending responses for too long.
@@ -88,7 +91,7 @@
 }
 
 net::Task<> Connection::drain_and_close(std::shared_ptr<Connection>) {
-    co_await gateway::close_gracefully(loop(), stream_, write_queue_, linger_time);
+    co_await gateway::close_gracefully(loop(), stream_, write_queue_, is_held_ ? held_linger_time : linger_time);
     closed_ = true;
     closed_notification_.notify();
 }
--- a/src/fastcgi/request_parser.cpp
+++ b/src/fastcgi/request_parser.cpp
@@ -22,8 +22,9 @@
     return "unknown";
 }
 
-bool RequestParser::feed(std::string_view bytes, ParserHandler& handler) {
-    while (!bytes.empty()) {
+bool RequestParser::feed(std::string_view& bytes, ParserHandler& handler, std::uint64_t max_records) {
+    const std::uint64_t records_before = record_count_;
+    while (!bytes.empty() && record_count_ - records_before < max_records) {
         if (record_bytes_left_ > 0)
             read_content(bytes, handler);
         else if (!read_header(bytes, handler))
@@ -105,7 +106,7 @@
         case RecordType::standard_input:
             return end_body(handler);
         default:
-            return;  // a Responder ignores other record types
+            return handler.on_ignored_record();
     }
 }
 
@@ -135,7 +136,8 @@
 // An empty FCGI_PARAMS record ends the parameters.
 void RequestParser::end_params(ParserHandler& handler) {
     const auto found = incomplete_.find(record_.request_id);
-    if (record_.content_length > 0 || found == incomplete_.end()) return;
+    if (found == incomplete_.end()) return handler.on_ignored_record();
+    if (record_.content_length > 0) return;
     IncompleteRequest& request = found->second;
     if (request.params_complete) return reject(RequestError::bad_parameters, request.message.keep_connection, handler);
     request.params_complete = true;
@@ -144,7 +146,8 @@
 // An empty FCGI_STDIN record ends the body and completes the request.
 void RequestParser::end_body(ParserHandler& handler) {
     const auto found = incomplete_.find(record_.request_id);
-    if (record_.content_length > 0 || found == incomplete_.end()) return;
+    if (found == incomplete_.end()) return handler.on_ignored_record();
+    if (record_.content_length > 0) return;
     if (!found->second.params_complete)
         return reject(RequestError::bad_parameters, found->second.message.keep_connection, handler);
     RequestMessage message = std::move(found->second.message);
--- a/src/fastcgi/request_parser.hpp
+++ b/src/fastcgi/request_parser.hpp
@@ -4,6 +4,7 @@
 /// Buffers record headers, management records and incomplete requests, within ParserLimits.
 #pragma once
 
+#include <limits>
 #include <map>
 
 #include "fastcgi/records.hpp"
@@ -46,6 +47,8 @@
     /// The client aborted a request; it may be incomplete, complete or unknown.
     virtual void on_abort(std::uint16_t request_id) = 0;
     virtual void on_get_values(std::string_view names) = 0;
+    /// A record was ignored: it belongs to no request that is being received, or a Responder has no use for its type.
+    virtual void on_ignored_record() = 0;
     /// A management record of an unsupported type arrived.
     virtual void on_unknown_type(std::uint8_t type) = 0;
     /// Whether this request is complete and has no response yet.
@@ -56,8 +59,13 @@
 public:
     explicit RequestParser(ParserLimits limits) : limits_(limits) {}
 
-    /// Parses the next input; returns false if it is not FastCGI, after which feed() must not be called again.
-    bool feed(std::string_view bytes, ParserHandler& handler);
+    /// Parses the next input up to the end of the `max_records`th record, and removes what it parsed from `bytes`.
+    /// Returns false if it is not FastCGI, after which feed() must not be called again.
+    bool feed(std::string_view& bytes, ParserHandler& handler, std::uint64_t max_records);
+    /// Like the other feed(), and parses all of the input.
+    bool feed(std::string_view bytes, ParserHandler& handler) {
+        return feed(bytes, handler, std::numeric_limits<std::uint64_t>::max());
+    }
     bool in_record() const { return !header_.empty() || record_bytes_left_ > 0; }
     bool in_request() const { return in_record() || !incomplete_.empty(); }
     /// Number of complete records parsed so far.
--- a/src/fastcgi/server.cpp
+++ b/src/fastcgi/server.cpp
@@ -112,6 +112,7 @@
 std::shared_ptr<Connection> Server::connection_to_close() const {
     std::shared_ptr<Connection> idle, stalled;
     for (const auto& [id, connection] : connections_) {
+        if (connection->is_held()) return connection;
         if (!stalled && connection->incomplete_duration() > incomplete_request_grace && !connection->has_unread_input())
             stalled = connection;
         if (!connection->is_idle() || connection->has_unread_input()) continue;
--- a/tests/codec_fuzz.cpp
+++ b/tests/codec_fuzz.cpp
@@ -36,6 +36,7 @@
         text += fmt::format("abort {};", request_id);
         pending_requests.erase(request_id);
     }
+    void on_ignored_record() override { text += "ignored;"; }
     void on_get_values(std::string_view names) override { text += fmt::format("values {};", names.size()); }
     void on_unknown_type(std::uint8_t type) override { text += fmt::format("unknown {};", type); }
     bool is_pending(std::uint16_t request_id) const override { return pending_requests.count(request_id) > 0; }
@@ -60,6 +61,16 @@
     return callbacks.text;
 }
 
+// Parses at most one record per call. The callbacks must be the same as with all records in one call.
+std::string feed_fastcgi_stream_by_record(std::string_view first_part, std::string_view second_part) {
+    CallbackLog callbacks;
+    fastcgi::RequestParser parser({});
+    for (std::string_view part : {first_part, second_part})
+        while (!part.empty())
+            if (!parser.feed(part, callbacks, 1)) return callbacks.text;
+    return callbacks.text;
+}
+
 std::string invoker_stream() {
     return "0000000000000001 data n=reused,peers_in=3 5\r\nhello\r\n"
            "p1 well l=inflight:7;util:0.61 0\r\n\r\n"
@@ -140,6 +151,7 @@
 int main() {
     Pcg random_numbers(20);
     check_all_splits(fastcgi_stream(), feed_fastcgi_stream, "complete 1 true");
+    check_all_splits(fastcgi_stream(), feed_fastcgi_stream_by_record, feed_fastcgi_stream(fastcgi_stream(), ""));
     check_all_splits(invoker_stream(), feed_invoker_stream, "0000000000000003 data - a\r\nb well 0\r\n;none");
     check_all_splits(discovery_stream(), feed_discovery_stream, "2 true false -s-00000003;2 false false;none");
     feed_damaged_streams(fastcgi_stream(), feed_fastcgi_stream, random_numbers);
