HTTP: a connection's pipelined requests are served over several iterations

Seen: not by callers; 40 connections with pipelined page requests delayed timers by 0.40 s. Cause: web::Connection served up to 128 KiB of buffered requests in one iteration. Change: it yields to the event loop between requests while more are buffered. Result: HttpFlood.PipelinedRequestsDelayNeitherTimersNorOthers failed before and passes. Postmortem: docs/incidents/052-http-pipelined-flood.md.

--- a/src/web/connection.cpp
+++ b/src/web/connection.cpp
@@ -69,7 +69,11 @@
 
 net::Task<> Connection::run(std::shared_ptr<Connection> self) {
     bool is_usable = true;
-    while (is_usable) is_usable = co_await serve_request();
+    while (is_usable) {
+        is_usable = co_await serve_request();
+        // Other connections and timers don't wait for a client that has sent many requests at once.
+        if (is_usable && read_buffer_.size() > 0) co_await loop().yield();
+    }
     clear_read_timeout();
     unread_timer_.clear();
     if (request_) gateway_.client_disconnected(*std::exchange(request_, nullptr));
