Scheduler: a request without time for an attempt is parked, not ended in place()

Change: the check in place() goes. may_attempt() allows no attempt then, so the request is parked and its timer, which is due, ends it; no call starts and cancels an attempt. Result: SchedulerLateHost and LateWake pass, as do the scheduler scripts and the sanitized bounds.

--- a/src/scheduler/retry_policy.cpp
+++ b/src/scheduler/retry_policy.cpp
@@ -41,6 +41,7 @@
 }
 
 bool may_attempt(const Request& request, const Invoker& invoker, Time now, const Capabilities& capabilities) {
+    // The timer of an attempt that begins from then on would be due at once, and end the attempt before it is sent.
     if (request.is_completed() || now >= latest_response_at(request, capabilities)) return false;
     if (static_cast<int>(request.attempts.size()) >= capabilities.max_attempts) return false;
     return std::ranges::all_of(request.attempts, [&](const Attempt& earlier) {
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -53,9 +53,6 @@
 // of its function ends, and when an attempt ended without a response and another one is allowed.
 void Scheduler::place(Request& request) {
     Function& function = *request.function;
-    // The timer of an attempt that begins now would be due in this call, which would end the attempt before it is sent.
-    if (context_.now >= latest_response_at(request, context_.capabilities))
-        return lifecycle_.reject_or_fail(request, DecisionReason::deadline_exceeded);
     if (static_cast<int>(request.attempts.size()) >= context_.capabilities.max_attempts)
         return lifecycle_.reject_or_fail(request, DecisionReason::attempts_exhausted);
     if (!request.has_attempt_in_flight() && !may_run_again(request, context_.now, context_.capabilities))
