Flood test: usual connections are kept while bad clients come and go below the limit

Cause: nothing held that connections of flooding clients which are closing leave room for sound ones.

--- a/tests/process_flood_test.cpp
+++ b/tests/process_flood_test.cpp
@@ -85,6 +85,7 @@
     endless("OtherProtocols", "GET / HTTP/1.1\r\n"),
 };
 
+class ProcessFloodLimit : public ProcessTest {};
 class ProcessFlood : public ProcessTest, public testing::WithParamInterface<Flood> {};
 
 // Guards against usual requests that are answered too late while a client floods the controller: its connections were
@@ -126,6 +127,31 @@
     }
 }
 
+// Guards against sound connections that are closed for want of room: clients that flood one connection after another
+// are fewer than the limit on connections, and those of them that are closing must not fill it up.
+TEST_F(ProcessFloodLimit, UsualConnectionsAreKeptWhileBadClientsComeAndGo) {
+    constexpr int usual_connections = 10;
+    constexpr std::size_t bad_connections_per_thread = 22;
+    add_both_invokers();
+    start(config());  // allows 128 client connections
+    wait_until_ready();
+    for (int i = 1; i <= usual_connections; ++i) {
+        const auto id = static_cast<std::uint64_t>(i);
+        add_client(100ms, {{0ms, message(1, request_fields(hex16(id), hex16(id)))}});
+    }
+    std::vector<std::unique_ptr<FloodClient>> flood_clients;
+    at(flood_start, [&] {
+        for (std::size_t i = 0; i < flood_threads; ++i)
+            flood_clients.push_back(std::make_unique<FloodClient>(host(server_host), 7001, bad_connections_per_thread,
+                                                                  floods[0].next_bytes));
+    });
+    run(flood_end);
+    std::uint64_t closed_connections = 0;
+    for (const auto& flood_client : flood_clients) closed_connections += flood_client->stop().closed_connections;
+    EXPECT_GT(closed_connections, 3 * flood_threads * bad_connections_per_thread);
+    for (const auto& client : clients) EXPECT_EQ(client->ended_at, Time::max());
+}
+
 INSTANTIATE_TEST_SUITE_P(BadClients, ProcessFlood, testing::ValuesIn(floods),
                          [](const auto& flood_info) { return flood_info.param.name; });
 
