FastCGI: a connection closed for flooding makes room for its client's next one at once

Cause: a held connection stayed open for 0.05 s after its end was sent; clients that connect again at once were there twice and reached the limit, where idle connections make way. Evidence: in virtual time, with as many flooding clients as half the limit, sound connections were closed 0.75 s after the flood began.

--- a/src/fastcgi/connection_timeouts.cpp
+++ b/src/fastcgi/connection_timeouts.cpp
@@ -12,8 +12,7 @@
 
 namespace {
 
-constexpr Time linger_time = 200ms;      // time for the client to read the last response before the socket is closed
-constexpr Time held_linger_time = 50ms;  // the same for a connection that was held open already
+constexpr Time linger_time = 200ms;  // time for the client to read the last response before the socket is closed
 
 }  // namespace
 
@@ -91,7 +90,9 @@
 }
 
 net::Task<> Connection::drain_and_close(std::shared_ptr<Connection>) {
-    co_await gateway::close_gracefully(loop(), stream_, write_queue_, is_held_ ? held_linger_time : linger_time);
+    // A client that was held has had its time. Its next connection must not find this one still open, or many such
+    // clients would reach the connection limit, at which idle connections of others are closed.
+    co_await gateway::close_gracefully(loop(), stream_, write_queue_, is_held_ ? Time{} : linger_time);
     closed_ = true;
     closed_notification_.notify();
 }
--- a/tests/glitch_limit_test.cpp
+++ b/tests/glitch_limit_test.cpp
@@ -82,6 +82,33 @@
     loop.run(5s);
 }
 
+// Guards against sound connections that were closed for want of room: clients that connected again at once found their
+// last connections still closing, and both together reached the limit on connections.
+TEST_F(GlitchLimit, ClientsThatFloodAgainAndAgainLeaveRoomForOthers) {
+    const std::size_t limit = config.gateway.admission.max_connections;
+    std::vector<ScriptedClient*> usual_clients;
+    for (std::uint64_t id = 1; id <= limit / 12; ++id)
+        usual_clients.push_back(&add_client(10ms, {{0ms, request_text(1, id)}}));
+    const std::function<Task<>()> flood_again_and_again = [&]() -> Task<> {
+        const net::Address address{"10.1.0.1", 7001};
+        std::vector<char> buffer(4096);
+        while (loop.now() < 4s) {
+            const auto connected = co_await loop.connect(address, 1s);
+            if (connected.error) co_return;
+            ScriptedInvoker::write(connected.stream, repeated(unknown_record, 1000));
+            while (!(co_await connected.stream->read(net::asio::buffer(buffer))).error) {
+            }
+            connected.stream->close();
+        }
+    };
+    loop.call_at(500ms, [&] {
+        for (std::size_t i = 0; i < limit / 2; ++i) loop.spawn(flood_again_and_again());
+    });
+    loop.run(4s);
+    for (const ScriptedClient* client : usual_clients) EXPECT_EQ(client->ended_at, Time::max());
+    loop.run(8s);
+}
+
 // A connection that is held open does not delay the end of the process.
 TEST_F(GlitchLimit, AHeldConnectionDoesNotDelayTheShutdown) {
     ScriptedClient& client = add_client(100ms, {{0ms, repeated(unknown_record, 1000)}});
